Rename the log's package by what it is

crates/platform held the interface of the append-only log and the product's own client of it. The folder platform/ is now kept for what translates to the users' machines, so the package is called log. Only names change; no behaviour.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use sycamorelink_core::{InstanceId, NodeClock, NodeId, NodeIncarnation, SystemClock};
 use sycamorelink_engine::{EngineSettings, NodeEngine, NodeEvent};
-use sycamorelink_platform::{HttpLogClient, HttpLogSettings, LogClient};
+use sycamorelink_log::{HttpLogClient, HttpLogSettings, LogClient};
 use sycamorelink_roster::MemberFacts;
 use sycamorelink_telemetry::{EventCode, EventFields, emit};
 use sycamorelink_wire::{FleetKey, FleetKeys, PeerIdentity, WireSettings};
--- a/crates/daemon/src/log_thread.rs
+++ b/crates/daemon/src/log_thread.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use sycamorelink_core::NodeClock;
 use sycamorelink_engine::{LogEntry, LogStream, NodeEvent};
-use sycamorelink_platform::{
+use sycamorelink_log::{
     AppendBudget, AppendPurpose, FollowEvent, FollowSettings, FollowStep, LogClient, LogError,
     LogFollower, LogPage, ReadRange, await_budget,
 };
--- a/crates/daemon/src/operators/publish.rs
+++ b/crates/daemon/src/operators/publish.rs
@@ -11,7 +11,7 @@
     ChangeAction, ChangeId, ContractChange, ContractVersion, CustomerContract, LogRecord,
 };
 use sycamorelink_core::CustomerName;
-use sycamorelink_platform::{LogError, ReadBack, SettleResult, append_and_settle};
+use sycamorelink_log::{LogError, ReadBack, SettleResult, append_and_settle};
 
 use super::query::OperatorQuery;
 use super::reply::{ApiProblem, json_reply, versioned};
@@ -163,7 +163,7 @@
     customer: &str,
     version: u64,
 ) -> Result<CustomerContract, ApiProblem> {
-    let range = sycamorelink_platform::ReadRange {
+    let range = sycamorelink_log::ReadRange {
         from: version.saturating_sub(1),
         max: 1,
         wait: Duration::ZERO,
@@ -207,7 +207,7 @@
         from: head,
         patience: READ_PATIENCE,
     };
-    let own = |record: &sycamorelink_platform::LogRecord| {
+    let own = |record: &sycamorelink_log::LogRecord| {
         matches!(
             LogRecord::decode(&record.data),
             Ok(LogRecord::Change(found)) if found.id == id
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -9,7 +9,7 @@
 use http::{Response, StatusCode};
 use serde_json::Value;
 use sycamorelink_core::NodeClock;
-use sycamorelink_platform::LogClient;
+use sycamorelink_log::LogClient;
 use tokio::sync::oneshot;
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
 use xitca_web::http::WebRequest;
--- a/crates/platform/tests/budget.rs
+++ b/crates/log/tests/budget.rs
@@ -7,7 +7,7 @@
 
 use support::run;
 use sycamorelink_core::ManualClock;
-use sycamorelink_platform::{AppendBudget, AppendPurpose, await_budget};
+use sycamorelink_log::{AppendBudget, AppendPurpose, await_budget};
 
 /// Looks at the stop after which the test gives up.
 const MOST_LOOKS: u32 = 3;
--- a/crates/platform/tests/follow.rs
+++ b/crates/log/tests/follow.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use support::{STREAM, run};
-use sycamorelink_platform::{
+use sycamorelink_log::{
     AppendBudget, AppendPurpose, BackoffSettings, FollowEvent, FollowSettings, FollowStep,
     LogClient, LogError, LogFollower, LogPage, LogRecord, MemoryFault, MemoryLog, OutageBackoff,
 };
--- a/crates/platform/tests/http_log.rs
+++ b/crates/log/tests/http_log.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use support::{STREAM, client_of, from, run, start_log};
-use sycamorelink_platform::{LogClient, LogError, ReadRange};
+use sycamorelink_log::{LogClient, LogError, ReadRange};
 use sycamorelink_standin::{LogMode, LogStandinSettings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
--- a/crates/platform/tests/settle.rs
+++ b/crates/log/tests/settle.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use support::{STREAM, client_of, run, start_log};
-use sycamorelink_platform::{
+use sycamorelink_log::{
     LogClient, LogError, LogRecord, MemoryFault, MemoryLog, ReadBack, SettleResult,
     append_and_settle, read_back,
 };
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/log/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sycamorelink_platform::{HttpLogClient, HttpLogSettings, ReadRange};
+use sycamorelink_log::{HttpLogClient, HttpLogSettings, ReadRange};
 use sycamorelink_standin::{LogStandin, LogStandinSettings, RunningLog};
 
 /// Bound on every wait.
