--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod contract;
 pub mod diff;
 pub mod digest;
+pub mod fleet;
 mod pack;
 pub mod samples;
 mod shape;
@@ -36,6 +37,7 @@
 pub use contract::{CustomerContract, contract_schema};
 pub use diff::{ValueChange, diff};
 pub use digest::ContentDigest;
+pub use fleet::{FLEET_CUSTOMER, FleetContract, FleetRoute, FleetRule, FleetTable, RoutePart};
 pub use table::{
     AccountMatch, CustomerIndex, CustomerRule, KeyRule, MethodSet, RouteRule, RouteTable,
     ServiceIndex, ServiceRule,
--- a/crates/contract/src/table/piece.rs
+++ b/crates/contract/src/table/piece.rs
@@ -170,6 +170,7 @@
         methods: MethodSet::of(&route.methods),
         repeat: route.repeat,
         deadline: route.deadline.unwrap_or(service.deadline),
+        attempts: None,
         priority: route.priority,
         max_body: route.max_body,
         reply_buffer: route.reply_buffer,
--- a/crates/contract/src/table/rule.rs
+++ b/crates/contract/src/table/rule.rs
@@ -94,6 +94,8 @@
     pub repeat: RepeatClass,
     /// Longest time a request may take in all.
     pub deadline: Duration,
+    /// Most upstreams that may run one request; none leaves it to the retry plan.
+    pub attempts: Option<u16>,
     /// 0 (low, shed first) to 9 (high, shed last).
     pub priority: u8,
     /// Largest body of a request in bytes.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -90,6 +90,8 @@
     Overloaded = ("overloaded", 503),
     /// The service has no upstream that may be used.
     NoUpstream = ("no-upstream", 503),
+    /// The upstream may be failing part of its requests, and this one is not risked on it.
+    UpstreamSuspect = ("upstream-suspect", 503),
     /// The daemon is leaving.
     Draining = ("draining", 503),
     /// The daemon has no contracts yet.
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -115,7 +115,21 @@
 /// The answer that hands on a backend server's reply.
 #[must_use]
 pub fn reply_answer<B>(request: RequestId, head: &ReplyHead, body: B) -> Response<B> {
-    let mut answer = Response::new(body);
+    reply_head_answer(request, head, RunState::Ran).map(|()| body)
+}
+
+/// The same without a body, marked with the request's id and run state.
+#[must_use]
+pub fn reply_head_answer(request: RequestId, head: &ReplyHead, run: RunState) -> Response<()> {
+    let mut answer = plain_head_answer(head);
+    stamp(&mut answer, request, run);
+    answer
+}
+
+/// Status and headers of a backend server's reply, and nothing besides.
+#[must_use]
+pub fn plain_head_answer(head: &ReplyHead) -> Response<()> {
+    let mut answer = Response::new(());
     *answer.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in &head.headers {
         let name = HeaderName::try_from(name.as_str());
@@ -124,7 +138,6 @@
             answer.headers_mut().append(name, value);
         }
     }
-    stamp(&mut answer, request, RunState::Ran);
     answer
 }
 
@@ -167,6 +180,7 @@
         RefusalCode::LimitExceeded => "The customer's limit is used up",
         RefusalCode::Overloaded => "No capacity before the deadline",
         RefusalCode::NoUpstream => "No backend server of this service can be used",
+        RefusalCode::UpstreamSuspect => "The backend server may be failing",
         RefusalCode::Draining => "This instance is leaving",
         RefusalCode::NotReady => "This instance has no contracts yet",
         RefusalCode::CrashRequest => "This request ended backend servers before and is stopped",
--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -19,8 +19,8 @@
 use tokio::sync::{mpsc, oneshot};
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
 
-use super::answer::{gone_answer, kept_answer, refusal_answer, reply_answer};
-use super::head::{forwarded_headers, read_head, target_of};
+use super::answer::{gone_answer, kept_answer};
+use super::head::target_of;
 use super::socket::{CallerSocket, gone_caller};
 use super::stream::{StreamedReply, stream_body};
 use super::{COMMAND_DEPTH, CallerCommand, CallerContext};
@@ -48,9 +48,12 @@
     let id = context.next_request();
     let (head, body) = request.into_parts();
     let request = Request::from_parts(head, ());
-    let caller = match read_head(id, &request, context.replay_limit()) {
+    let caller = match context
+        .border
+        .read_head(id, &request, context.replay_limit())
+    {
         Ok(caller) => caller,
-        Err(code) => return refuse(id, &RequestRefusal::not_run(code)),
+        Err(code) => return refuse(&context, id, &RequestRefusal::not_run(code)),
     };
     let (port, commands) = mpsc::channel(COMMAND_DEPTH);
     let replayable = caller.replayable;
@@ -61,7 +64,7 @@
         .is_err()
     {
         let refusal = RequestRefusal::not_run(RefusalCode::Overloaded).retry_after(RING_FULL_WAIT);
-        return refuse(id, &refusal);
+        return refuse(&context, id, &refusal);
     }
     let (parts_in, parts) = mpsc::channel(REPLY_DEPTH);
     let exchange = CallerExchange {
@@ -84,8 +87,12 @@
     exchange.run().await
 }
 
-fn refuse(id: RequestId, refusal: &RequestRefusal) -> Response<ResponseBody> {
-    refusal_answer(id, refusal).map(ResponseBody::bytes)
+fn refuse(
+    context: &CallerContext,
+    id: RequestId,
+    refusal: &RequestRefusal,
+) -> Response<ResponseBody> {
+    context.border.refusal(id, refusal).map(ResponseBody::bytes)
 }
 
 /// One attempt as its parts arrive.
@@ -173,7 +180,7 @@
 
     fn answer_refusal(&mut self, refusal: &RequestRefusal) -> Response<ResponseBody> {
         self.settled = true;
-        refuse(self.id, refusal)
+        refuse(&self.context, self.id, refusal)
     }
 
     /// Reads the body whole and tells its fingerprint.
@@ -215,7 +222,7 @@
             order: order.clone(),
             method: self.method.clone(),
             target: self.target.clone(),
-            headers: forwarded_headers(&self.headers),
+            headers: self.context.border.forwarded(&self.headers),
             body,
             body_length: length,
             signature: self.signature(order.signature),
@@ -334,7 +341,11 @@
         let head = progress.head?;
         self.settled = true;
         let body = ResponseBody::bytes(progress.buffer.freeze());
-        Some(reply_answer(self.id, &head, body))
+        Some(self.reply(&head, body))
+    }
+
+    fn reply(&self, head: &ReplyHead, body: ResponseBody) -> Response<ResponseBody> {
+        self.context.border.reply(self.id, head).map(|()| body)
     }
 
     /// The reply outgrew the buffer: it goes to the caller as it comes, and no other attempt can
@@ -357,7 +368,7 @@
             socket: self.socket.clone(),
         };
         let body = ResponseBody::boxed(stream_body(streamed, head.body_length));
-        Some(reply_answer(self.id, &head, body))
+        Some(self.reply(&head, body))
     }
 
     async fn tell(&self, event: NodeEvent) {
--- a/crates/daemon/src/callers/head.rs
+++ b/crates/daemon/src/callers/head.rs
@@ -35,17 +35,12 @@
     replay_limit: u64,
 ) -> Result<CallerRequest, RefusalCode> {
     let headers = request.headers();
-    let body_length = declared_length(headers)?;
-    let chunked = headers.contains_key(TRANSFER_ENCODING);
-    let body_length = if chunked {
-        None
-    } else {
-        Some(body_length.unwrap_or(0))
-    };
+    let body_length = declared_body(headers)?;
     Ok(CallerRequest {
         id,
         token: read_token(headers)?,
         method: Arc::from(request.method().as_str()),
+        host: Arc::from(""),
         path: Arc::from(request.uri().path()),
         target: Arc::from(target_of(request)),
         key: read_key(headers)?,
@@ -55,6 +50,21 @@
     })
 }
 
+/// Length of a request's body; none for one that comes in chunks.
+///
+/// # Errors
+///
+/// `bad-request` when the length cannot be told for certain.
+pub fn declared_body(headers: &HeaderMap) -> Result<Option<u64>, RefusalCode> {
+    let length = declared_length(headers)?;
+    let chunked = headers.contains_key(TRANSFER_ENCODING);
+    Ok(if chunked {
+        None
+    } else {
+        Some(length.unwrap_or(0))
+    })
+}
+
 /// Path and query of a request.
 pub fn target_of<B>(request: &http::Request<B>) -> &str {
     let uri = request.uri();
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -17,8 +17,12 @@
 mod socket;
 mod stream;
 
-pub use answer::{KeptReply, REQUEST_ID_HEADER};
-pub use head::{TIMEOUT_HEADER, is_hop_header};
+pub use answer::{
+    KeptReply, REQUEST_ID_HEADER, plain_head_answer, refusal_answer, reply_head_answer,
+};
+pub use head::{
+    TIMEOUT_HEADER, declared_body, forwarded_headers, is_hop_header, read_head, target_of,
+};
 pub use server::{CallerContext, CallerServer};
 pub use socket::CallerSockets;
 
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -2,14 +2,16 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use http::header::{CONNECTION, HeaderValue};
 use sycamorelink_core::{InstanceId, RequestId};
 use tokio::sync::mpsc;
 use xitca_web::http::WebRequest;
 
 use super::exchange::answer_request;
 use super::socket::{CallerSockets, TrackedListener};
+use crate::border::CallerBorder;
 use crate::http_server::{HttpPort, start_server};
 use crate::inbox::ShellInput;
 use crate::ring::RingSender;
@@ -32,6 +34,10 @@
     pub counter: AtomicU64,
     /// Connections of callers, to see them go away.
     pub sockets: CallerSockets,
+    /// How requests are read and answered.
+    pub border: Arc<dyn CallerBorder>,
+    /// Set while the daemon leaves: answers then tell callers to come back on another connection.
+    pub leaving: Arc<AtomicBool>,
 }
 
 impl CallerContext {
@@ -70,7 +76,15 @@
             let context = Arc::clone(&context);
             let peer = *request.body().socket_addr();
             let request = request.map(|ext| ext.replace_body(()).1);
-            async move { answer_request(context, request, peer).await }
+            async move {
+                let leaving = Arc::clone(&context.leaving);
+                let mut answer = answer_request(context, request, peer).await;
+                if leaving.load(Ordering::Relaxed) {
+                    let close = HeaderValue::from_static("close");
+                    answer.headers_mut().insert(CONNECTION, close);
+                }
+                answer
+            }
         };
         start_server("callers", tracked, workers, answer).map(Self)
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,27 +9,32 @@
 use anyhow::Context;
 use serde::Serialize;
 use sycamorelink_core::{InstanceId, NodeClock, NodeId, NodeIncarnation, SystemClock};
-use sycamorelink_engine::{EngineSettings, NodeEngine, NodeEvent};
-use sycamorelink_log::{HttpLogClient, HttpLogSettings, LogClient};
+use sycamorelink_engine::{ContractForm, EngineSettings, NodeEngine, NodeEvent};
 use sycamorelink_roster::MemberFacts;
 use sycamorelink_telemetry::{EventCode, EventFields, emit};
 use sycamorelink_wire::{FleetKey, FleetKeys, PeerIdentity, WireSettings};
 use tokio::sync::watch;
 
+use crate::border::{ContractSource, DaemonBorders, MemberDirectory, MemberEntry};
 use crate::callers::{CallerContext, CallerServer, CallerSockets};
 use crate::gossip::start_gossip;
+use crate::http_server::HttpPort;
 use crate::inbox::{INBOX_DEPTH, ShellInput};
 use crate::log_thread::{LogParts, start_log};
 use crate::metrics::NodeTelemetry;
 use crate::metrics_thread::start_metrics;
 use crate::operators::{OperatorContext, OperatorGate, OperatorServer};
+use crate::ready::start_ready;
 use crate::ring::{RingSender, bounded_ring};
 use crate::settings::DaemonSettings;
 use crate::shell::{DecisionShell, ShellPorts};
+use crate::source_thread::{SourceParts, start_source};
 use crate::work::{BackendDirectory, LoadBoard, WorkParts, WorkThread};
 
 /// Greatest request body that is held so that it can be sent again, in bytes.
 const BODY_BUFFER: usize = 64 << 10;
+/// Longest wait for the entries of earlier lives before the daemon starts.
+const ENTRY_LIMIT: Duration = Duration::from_millis(500);
 /// Time that the last replies to peers get to be written out.
 const REPLY_TIME: Duration = Duration::from_secs(5);
 /// Time between two looks at whether a drain is done.
@@ -49,6 +54,9 @@
     pub peers: SocketAddr,
     /// Gossip, UDP.
     pub gossip: SocketAddr,
+    /// Readiness, HTTP.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ready: Option<SocketAddr>,
 }
 
 struct DaemonSockets {
@@ -56,6 +64,7 @@
     operators: TcpListener,
     peers: TcpListener,
     gossip: UdpSocket,
+    ready: Option<TcpListener>,
 }
 
 impl DaemonSockets {
@@ -68,6 +77,10 @@
             gossip: UdpSocket::bind(listen.gossip)
                 .inspect_err(|error| tell_listen_failed(listen.gossip, error))
                 .with_context(|| format!("cannot listen for gossip on {}", listen.gossip))?,
+            ready: listen
+                .ready
+                .map(|address| bind_tcp("readiness", address))
+                .transpose()?,
         })
     }
 
@@ -77,6 +90,11 @@
             operators: self.operators.local_addr()?,
             peers: self.peers.local_addr()?,
             gossip: self.gossip.local_addr()?,
+            ready: self
+                .ready
+                .as_ref()
+                .map(TcpListener::local_addr)
+                .transpose()?,
         })
     }
 }
@@ -105,24 +123,45 @@
     ///
     /// When an address cannot be listened on, a section of the settings is wrong or a thread
     /// cannot be started.
+    pub fn start(settings: DaemonSettings) -> anyhow::Result<DaemonHandle> {
+        let borders = DaemonBorders::own(&settings);
+        Self::start_with(settings, borders)
+    }
+
+    /// Starts all threads of a daemon with these borders.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::start`].
     #[expect(
         clippy::needless_pass_by_value,
         reason = "a daemon is started once from its settings"
     )]
-    pub fn start(settings: DaemonSettings) -> anyhow::Result<DaemonHandle> {
+    pub fn start_with(
+        settings: DaemonSettings,
+        mut borders: DaemonBorders,
+    ) -> anyhow::Result<DaemonHandle> {
         let sockets = DaemonSockets::bind(&settings)?;
         let addresses = sockets.addresses()?;
         let clock: Arc<dyn NodeClock> = Arc::new(SystemClock::start());
-        let facts = member_facts(&settings, &addresses, clock.as_ref());
+        let least = known_incarnation(&settings, borders.members.as_deref())?;
+        let facts = member_facts(&settings, &addresses, clock.as_ref(), least);
         let keys = fleet_keys(&settings);
-        let engine_settings = engine_settings(&settings)?;
+        let mut engine_settings = engine_settings(&settings)?;
+        let contracts = borders.contracts.take();
+        if contracts.is_some() {
+            engine_settings.contracts = ContractForm::Fleet;
+        }
         let gate = OperatorGate::new(&settings.operators)
             .context("the operators' accounts have findings")?;
         let (inbox, receiver) = bounded_ring(INBOX_DEPTH);
-        let shared = SharedParts::new(&settings, clock, inbox, facts.instance);
+        let shared = SharedParts::new(&settings, clock, inbox, facts.instance, borders);
         let metrics_thread = start_metrics(shared.telemetry.clone(), Arc::clone(&shared.stop))?;
         let work = start_work(&shared, sockets.peers, keys.clone())?;
-        let (appends, log_thread) = start_log(shared.log_parts())?;
+        let (appends, log_thread) = match contracts {
+            Some(contracts) => start_source(shared.source_parts(contracts, &facts))?,
+            None => start_log(shared.log_parts())?,
+        };
         let gossip_thread = start_gossip(
             sockets
                 .gossip
@@ -167,9 +206,14 @@
             Arc::new(shared.operator_context(gate, &addresses)),
             sockets.operators,
         )?;
+        let ready = match sockets.ready {
+            Some(listener) => Some(start_ready(listener, Arc::clone(&shared.ready))?),
+            None => None,
+        };
         Ok(DaemonHandle {
             addresses,
             shared,
+            ready,
             callers,
             operators,
             work,
@@ -186,8 +230,9 @@
     instance: InstanceId,
     clock: Arc<dyn NodeClock>,
     inbox: RingSender<ShellInput>,
-    log: Arc<dyn LogClient>,
+    borders: DaemonBorders,
     stream: Arc<str>,
+    leaving: Arc<AtomicBool>,
     directory: BackendDirectory,
     loads: LoadBoard,
     ready: Arc<AtomicBool>,
@@ -204,14 +249,15 @@
         clock: Arc<dyn NodeClock>,
         inbox: RingSender<ShellInput>,
         instance: InstanceId,
+        borders: DaemonBorders,
     ) -> Self {
-        let log = HttpLogClient::new(settings.log.address, HttpLogSettings::default());
         let telemetry = NodeTelemetry::new(Arc::clone(&clock), settings.telemetry.metrics);
         Self {
             instance,
             clock,
             inbox,
-            log: Arc::new(log),
+            borders,
+            leaving: Arc::default(),
             stream: Arc::clone(&settings.log.stream),
             directory: BackendDirectory::default(),
             loads: LoadBoard::default(),
@@ -226,7 +272,7 @@
 
     fn log_parts(&self) -> LogParts {
         LogParts {
-            client: Arc::clone(&self.log),
+            client: Arc::clone(&self.borders.log),
             stream: Arc::clone(&self.stream),
             clock: Arc::clone(&self.clock),
             inbox: self.inbox.clone(),
@@ -235,6 +281,22 @@
         }
     }
 
+    fn source_parts(&self, contracts: Box<dyn ContractSource>, facts: &MemberFacts) -> SourceParts {
+        SourceParts {
+            contracts,
+            members: self.borders.members.clone(),
+            entry: MemberEntry {
+                name: Arc::clone(&facts.name),
+                gossip: facts.gossip_address,
+                incarnation: facts.instance.incarnation.0,
+            },
+            clock: Arc::clone(&self.clock),
+            inbox: self.inbox.clone(),
+            seed: self.instance.node.0,
+            telemetry: self.telemetry.clone(),
+        }
+    }
+
     fn caller_context(&self, settings: &DaemonSettings, work: &WorkThread) -> CallerContext {
         CallerContext {
             instance: self.instance,
@@ -244,13 +306,16 @@
             body_buffer: BODY_BUFFER.min(settings.body_limit),
             counter: AtomicU64::new(1),
             sockets: CallerSockets::default(),
+            border: Arc::clone(&self.borders.caller),
+            leaving: Arc::clone(&self.leaving),
         }
     }
 
     fn operator_context(&self, gate: OperatorGate, addresses: &DaemonAddresses) -> OperatorContext {
         OperatorContext {
             inbox: self.inbox.clone(),
-            log: Arc::clone(&self.log),
+            log: Arc::clone(&self.borders.log),
+            announcement: self.borders.announcement.clone(),
             stream: Arc::clone(&self.stream),
             gate,
             clock: Arc::clone(&self.clock),
@@ -278,6 +343,7 @@
         directory: shared.directory.clone(),
         loads: shared.loads.clone(),
         events: shared.telemetry.events.clone(),
+        border: Arc::clone(&shared.borders.backend),
         drain: shared.drain.subscribe(),
     })
 }
@@ -286,8 +352,10 @@
     settings: &DaemonSettings,
     addresses: &DaemonAddresses,
     clock: &dyn NodeClock,
+    least: u64,
 ) -> MemberFacts {
     let millis = u64::try_from(clock.wall().as_millis()).unwrap_or(u64::MAX);
+    let millis = millis.max(least);
     let advertised = |address: SocketAddr| {
         SocketAddr::new(settings.advertise.unwrap_or(address.ip()), address.port())
     };
@@ -304,6 +372,42 @@
     }
 }
 
+/// The least incarnation that this life may have, where nodes leave their entries.
+///
+/// Failure: the wall clock is set back and the node restarts; peers remember its earlier life with a
+/// greater incarnation and take the new one for old. The entry that the earlier life left tells its
+/// incarnation. A source that does not answer soon is not waited for: the wall clock has to do, and
+/// the roster tells when it did not.
+fn known_incarnation(
+    settings: &DaemonSettings,
+    members: Option<&dyn MemberDirectory>,
+) -> anyhow::Result<u64> {
+    let Some(members) = members else {
+        return Ok(0);
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot read the entries of earlier lives")?;
+    let listed =
+        runtime.block_on(async { tokio::time::timeout(ENTRY_LIMIT, members.list()).await });
+    let entries = match listed {
+        Ok(Ok(entries)) => entries,
+        Ok(Err(error)) => {
+            tracing::warn!(%error, "the entries of earlier lives cannot be read");
+            return Ok(0);
+        }
+        Err(_) => {
+            tracing::warn!("the entries of earlier lives were not read in time");
+            return Ok(0);
+        }
+    };
+    let own = entries
+        .iter()
+        .filter(|entry| entry.name == settings.instance);
+    Ok(own.map(|entry| entry.incarnation + 1).max().unwrap_or(0))
+}
+
 fn fleet_keys(settings: &DaemonSettings) -> FleetKeys {
     let current = FleetKey::new(&settings.fleet_keys.current.secret);
     let previous = settings.fleet_keys.previous.as_ref();
@@ -315,6 +419,7 @@
 
 fn engine_settings(settings: &DaemonSettings) -> anyhow::Result<EngineSettings> {
     let mut parts = EngineSettings {
+        leave_serving: settings.drain.serving,
         roster: section("roster", &settings.roster)?,
         guard: section("guard", &settings.guard)?,
         ..EngineSettings::default()
@@ -346,6 +451,7 @@
 pub struct DaemonHandle {
     addresses: DaemonAddresses,
     shared: SharedParts,
+    ready: Option<HttpPort>,
     callers: CallerServer,
     operators: OperatorServer,
     work: WorkThread,
@@ -368,6 +474,13 @@
         self.shared.ready.load(Ordering::Relaxed)
     }
 
+    /// Hands on gossip addresses of other daemons from settings that were read again.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.shared
+            .inbox
+            .send_blocking(ShellInput::Event(NodeEvent::SeedsFound(seeds)));
+    }
+
     /// Whether an operator asked the daemon to leave.
     #[must_use]
     pub fn drain_wanted(&self) -> bool {
@@ -376,6 +489,7 @@
 
     /// Begins to leave; [`Self::is_drained`] tells when nothing is left.
     pub fn drain(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
         self.shared
             .inbox
             .send_blocking(ShellInput::Event(NodeEvent::DrainRequested));
@@ -408,6 +522,9 @@
         thread::sleep(GOODBYE_TIME);
         self.callers.stop(false);
         self.operators.stop();
+        if let Some(ready) = self.ready {
+            ready.stop(false);
+        }
         let _ = self.shared.drain.send(true);
         self.shared.stop.store(true, Ordering::Relaxed);
         self.shared.inbox.send_blocking(ShellInput::Stop);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 //! Each thread has one duty and they are joined by bounded rings. All decisions are taken by
 //! [`sycamorelink_engine::NodeEngine`] on the decision thread; everything else carries bytes.
 
+pub mod border;
 mod callers;
 mod daemon;
 mod gossip;
@@ -22,12 +23,13 @@
 mod metrics_thread;
 mod notes;
 mod operators;
-mod part;
+pub mod part;
+mod ready;
 mod ring;
-mod run;
 pub mod settings;
 mod shell;
+mod source_thread;
 mod work;
 
+pub use callers::{declared_body, is_hop_header, plain_head_answer, target_of};
 pub use daemon::{Daemon, DaemonAddresses, DaemonHandle};
-pub use run::{RunEnd, run_daemon};
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -92,6 +92,7 @@
             | NodeNote::IncarnationRaised(_)
             | NodeNote::Superseded(_) => self.member(now, note),
             NodeNote::ContractAccepted { .. }
+            | NodeNote::FleetContractTaken { .. }
             | NodeNote::ContractRejected { .. }
             | NodeNote::PoisonRecord { .. }
             | NodeNote::ContractsCarried { .. }
@@ -120,6 +121,25 @@
             NodeNote::UpstreamCrashed { id, service } => {
                 self.upstream(EventCode::CrashSuspected, id, service);
             }
+            NodeNote::BreakerTurned {
+                id,
+                service,
+                suspect,
+                kind,
+                odds,
+            } => {
+                let code = if *suspect {
+                    EventCode::WorkHeldOff
+                } else {
+                    EventCode::WorkReleased
+                };
+                let reason = match kind {
+                    Some(kind) => format!("{kind:?}, odds {odds:.1}"),
+                    None => format!("time passed, odds {odds:.1}"),
+                };
+                let fields = EventFields::new().upstream(id).service(service);
+                self.emit(code, &fields.reason(&reason));
+            }
             NodeNote::UpstreamGone { id, service } => {
                 self.upstream(EventCode::UpstreamGone, id, service);
             }
@@ -202,6 +222,17 @@
                 let fields = EventFields::new().customer(customer).version(version);
                 self.emit(EventCode::ContractInForce, &fields.offset(offset));
             }
+            NodeNote::FleetContractTaken {
+                version,
+                before,
+                from,
+            } => {
+                let mut fields = EventFields::new().version(version).limit(before);
+                if let Some(from) = from {
+                    fields = fields.peer(from);
+                }
+                self.emit(EventCode::ContractInForce, &fields);
+            }
             NodeNote::ContractRejected { offset, reason } => {
                 let fields = EventFields::new().offset(offset).reason(reason);
                 self.emit(EventCode::ContractRejected, &fields);
--- a/crates/daemon/src/operators/route.rs
+++ b/crates/daemon/src/operators/route.rs
@@ -17,6 +17,7 @@
 use super::query::OperatorQuery;
 use super::reply::{ApiProblem, empty_reply, json_reply, versioned};
 use super::server::OperatorContext;
+use crate::border::AnnouncementCall;
 use crate::inbox::ShellInput;
 use crate::notes::{AuditCall, AuditNote};
 
@@ -107,7 +108,9 @@
                 })?;
             administer(context, &account, call, rest).await
         }
-        _ => Err(ApiProblem::not_found("no such call")),
+        _ => announce_otherwise(context, call)
+            .await
+            .ok_or_else(|| ApiProblem::not_found("no such call")),
     }
 }
 
@@ -157,6 +160,8 @@
             AnnouncedPhase::Ready => UpstreamPhase::Ready,
             AnnouncedPhase::Leaving => UpstreamPhase::Leaving,
         },
+        life: None,
+        warm_up: None,
     };
     context
         .inbox
@@ -165,13 +170,33 @@
     Ok(empty_reply(StatusCode::NO_CONTENT))
 }
 
+/// An announcement in the form of another border.
+async fn announce_otherwise(
+    context: &OperatorContext,
+    call: &OperatorCall,
+) -> Option<Response<Bytes>> {
+    let border = context.announcement.as_ref()?;
+    let answer = border.read(AnnouncementCall {
+        method: &call.method,
+        path: call.uri.path(),
+        body: &call.body,
+    })?;
+    if let Some((slot, address)) = answer.address {
+        context.directory.insert(slot, address);
+    }
+    if let Some(event) = answer.event {
+        context.inbox.send(ShellInput::Event(event)).await;
+    }
+    Some(answer.reply)
+}
+
 async fn withdraw(
     context: &OperatorContext,
     call: &OperatorCall,
     slot: &str,
 ) -> Result<Response<Bytes>, ApiProblem> {
     let slot = local_slot(context, call, slot)?;
-    let event = NodeEvent::UpstreamWithdrawn { slot };
+    let event = NodeEvent::UpstreamWithdrawn { slot, life: None };
     context.inbox.send(ShellInput::Event(event)).await;
     Ok(empty_reply(StatusCode::NO_CONTENT))
 }
@@ -218,7 +243,9 @@
         (_, ["contracts", customer, rest @ ..]) => {
             contract_call(context, account, call, customer, rest).await
         }
-        _ => Err(ApiProblem::not_found("no such call")),
+        _ => announce_otherwise(context, call)
+            .await
+            .ok_or_else(|| ApiProblem::not_found("no such call")),
     }
 }
 
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -18,6 +18,7 @@
 use super::query::OperatorQuery;
 use super::reply::ApiProblem;
 use super::route::{OperatorCall, answer_call};
+use crate::border::AnnouncementBorder;
 use crate::http_server::{HttpPort, start_server};
 use crate::inbox::ShellInput;
 use crate::ring::RingSender;
@@ -46,6 +47,8 @@
     pub ready: Arc<AtomicBool>,
     /// Set when an operator asks the daemon to leave.
     pub drain_wanted: Arc<AtomicBool>,
+    /// Another form in which backend servers announce themselves.
+    pub announcement: Option<Arc<dyn AnnouncementBorder>>,
     /// Address that this port listens on.
     pub own_ip: IpAddr,
 }
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use serde_with::serde_as;
-use sycamorelink_core::DomainName;
+use sycamorelink_core::{DomainName, ServiceName};
 
 use super::units::{UnitBytes, UnitDuration};
 
@@ -22,6 +22,9 @@
 const DEFAULT_HEADER_LIMIT: usize = 16 << 10;
 /// Bytes of a reply held back before its head goes to the caller.
 const DEFAULT_REPLY_BUFFER: usize = 64 << 10;
+/// How long a leaving daemon still takes callers' requests: callers that look every second whether
+/// it is ready have then looked elsewhere.
+const DEFAULT_DRAIN_SERVING: Duration = Duration::from_secs(5);
 /// How long a drain waits for requests in flight.
 const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(30);
 
@@ -36,6 +39,11 @@
     pub domain: DomainName,
     /// Region that the failure domain belongs to.
     pub region: Arc<str>,
+    /// Which forms the daemon speaks towards callers, backend servers and the platform.
+    pub interface: InterfaceForm,
+    /// Service that the backend server beside this instance runs, where its requests are counted
+    /// under it.
+    pub service: Option<ServiceName>,
     /// Where the daemon listens.
     pub listen: ListenAddresses,
     /// Address that peers are told, when it differs from the one listened on.
@@ -69,6 +77,8 @@
     pub guard: Value,
     /// Settings of the roster, read by that package.
     pub roster: Value,
+    /// What the platform tells about the deployment, read by the package that speaks its forms.
+    pub platform: Value,
 }
 
 impl Default for DaemonSettings {
@@ -77,6 +87,8 @@
             instance: Arc::from(""),
             domain: DomainName::new(""),
             region: Arc::from(DEFAULT_REGION),
+            interface: InterfaceForm::default(),
+            service: None,
             listen: ListenAddresses::default(),
             advertise: None,
             seeds: Vec::new(),
@@ -92,6 +104,7 @@
             limits: empty_section(),
             guard: empty_section(),
             roster: empty_section(),
+            platform: empty_section(),
         }
     }
 }
@@ -115,6 +128,21 @@
     pub peers: SocketAddr,
     /// Other daemons, gossip over UDP.
     pub gossip: SocketAddr,
+    /// Whoever asks whether the daemon takes requests, HTTP; no port of its own without it.
+    pub ready: Option<SocketAddr>,
+    /// Whoever reads the metrics as text, HTTP; not served without it.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Forms spoken towards callers, backend servers and the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum InterfaceForm {
+    /// The product's own.
+    #[default]
+    Own,
+    /// Those of the platform that the instances run on.
+    Platform,
 }
 
 impl Default for ListenAddresses {
@@ -124,6 +152,8 @@
             operators: ANY_PORT,
             peers: ANY_PORT,
             gossip: ANY_PORT,
+            ready: None,
+            metrics: None,
         }
     }
 }
@@ -183,12 +213,16 @@
     /// How long requests in flight may take before the daemon stops regardless.
     #[serde_as(as = "UnitDuration")]
     pub limit: Duration,
+    /// How long callers' requests are still taken while the daemon leaves.
+    #[serde_as(as = "UnitDuration")]
+    pub serving: Duration,
 }
 
 impl Default for DrainSettings {
     fn default() -> Self {
         Self {
             limit: DEFAULT_DRAIN_LIMIT,
+            serving: DEFAULT_DRAIN_SERVING,
         }
     }
 }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -208,7 +208,7 @@
             NodeCommand::AnswerGone { request } => {
                 self.tell_caller(request, CallerCommand::Gone);
             }
-            NodeCommand::RunWork { work } => self.tell_work(work, WorkCommand::Run),
+            NodeCommand::RunWork { work, life } => self.tell_work(work, WorkCommand::Run(life)),
             NodeCommand::RefuseWork {
                 work,
                 refusal,
--- a/crates/daemon/src/work/attempt.rs
+++ b/crates/daemon/src/work/attempt.rs
@@ -25,6 +25,12 @@
     pub ticket: Option<DispatchTicket>,
     /// Header in which the backend server must repeat the request id.
     pub reply_id_header: Option<String>,
+    /// Whether the work may be run more than once.
+    pub repeatable: bool,
+    /// Whether it is to run although the backend server may be failing.
+    pub insist: bool,
+    /// How long it may wait for a slot; none when only its deadline bounds the wait.
+    pub patience: Option<Duration>,
 }
 
 /// Carries out one attempt, here or at a peer.
@@ -61,6 +67,9 @@
         time_left: order.time_left,
         signature,
         ticket: order.ticket.clone(),
+        repeatable: order.repeatable,
+        insist: order.insist,
+        patience: order.patience,
     }
 }
 
@@ -111,6 +120,9 @@
     let extras = WorkExtras {
         ticket: order.ticket.clone(),
         reply_id_header: order.reply_id_header.as_deref().map(str::to_owned),
+        repeatable: order.repeatable,
+        insist: order.insist,
+        patience: order.patience,
     };
     WorkHead {
         attempt: order.attempt,
--- a/crates/daemon/src/work/backend.rs
+++ b/crates/daemon/src/work/backend.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::error::Error as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,7 +33,7 @@
 /// Probes without an answer after which a connection counts as silent.
 const PROBE_COUNT: u32 = 2;
 /// Looks at whether a backend server still takes connections.
-const END_LOOKS: u32 = 3;
+const END_LOOKS: u32 = 2;
 /// Pause between two of them.
 const END_PAUSE: Duration = Duration::from_millis(20);
 /// Idle connections kept for one backend server.
@@ -49,7 +50,10 @@
     NotSent,
     /// Some of it may have been sent.
     #[error("the connection broke before a reply")]
-    Broken,
+    Broken {
+        /// Whether nothing came back for the bytes sent, rather than a reset or an end.
+        silent: bool,
+    },
 }
 
 /// An open connection.
@@ -85,7 +89,7 @@
                 Ok(response) => return Ok((response, BackendConnection { sender, slot })),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => return Err(SendFailure::Broken),
+                    None => return Err(broken(&error.into_error())),
                 },
             }
         }
@@ -94,7 +98,7 @@
             Ok(response) => Ok((response, BackendConnection { sender, slot })),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(SendFailure::NotSent),
-                None => Err(SendFailure::Broken),
+                None => Err(broken(&error.into_error())),
             },
         }
     }
@@ -126,6 +130,15 @@
     }
 }
 
+/// Tells a connection that went silent from one that was reset or closed.
+fn broken(error: &hyper::Error) -> SendFailure {
+    let cause = error
+        .source()
+        .and_then(|cause| cause.downcast_ref::<std::io::Error>());
+    let silent = cause.is_some_and(|cause| cause.kind() == std::io::ErrorKind::TimedOut);
+    SendFailure::Broken { silent }
+}
+
 async fn connect(address: SocketAddr) -> Result<SendRequest<BackendBody>, SendFailure> {
     let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = opened else {
--- a/crates/daemon/src/work/executor.rs
+++ b/crates/daemon/src/work/executor.rs
@@ -3,10 +3,11 @@
 
 use std::future::pending;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -18,7 +19,8 @@
 
 use super::backend::{SendFailure, backend_body, has_ended};
 use super::{ReplySink, WorkCommand, WorkContext};
-use crate::callers::{KeptReply, REQUEST_ID_HEADER, TIMEOUT_HEADER, is_hop_header};
+use crate::border::{BackendAsk, BackendRequest, ReplyExpectation, ReplyVerdict};
+use crate::callers::{KeptReply, is_hop_header};
 use crate::inbox::ShellInput;
 use crate::part::{AttemptFailure, BodyReceiver, ReplyEnd, ReplyHead, ReplyPart};
 
@@ -66,10 +68,12 @@
         return;
     }
     let mut task = task;
+    let offered = Instant::now();
     let cancellable = task.offer.ticket.is_none();
-    tokio::select! {
+    let life = tokio::select! {
         command = commands.recv() => match command {
-            Some(WorkCommand::Run | WorkCommand::Release) => {}
+            Some(WorkCommand::Run(life)) => life,
+            Some(WorkCommand::Release) => None,
             Some(WorkCommand::Refuse(refusal, load)) => {
                 refuse(&task.reply, &refusal, Some(load)).await;
                 return;
@@ -84,13 +88,16 @@
             tell(&context, NodeEvent::WorkCancelled { work }).await;
             return;
         }
-    }
-    run_work(context, task, commands).await;
+    };
+    // The backend server is told what is left after the wait for a slot, not what was left before.
+    task.offer.time_left = task.offer.time_left.saturating_sub(offered.elapsed());
+    run_work(context, task, life, commands).await;
 }
 
 async fn run_work(
     context: WorkContext,
     task: ExecutorTask,
+    life: Option<Arc<str>>,
     mut commands: mpsc::Receiver<WorkCommand>,
 ) {
     let cancellable = task.offer.ticket.is_none();
@@ -104,7 +111,7 @@
     let started = Instant::now();
     let mut task = task;
     let cancelled = std::mem::replace(&mut task.cancelled, oneshot::channel().1);
-    let run = WorkRun::new(context.clone(), task);
+    let run = WorkRun::new(context.clone(), task, life);
     let reply = run.reply.clone();
     let end = tokio::select! {
         end = run.run() => end,
@@ -151,7 +158,12 @@
 fn failure_of(end: WorkEnd) -> Option<AttemptFailure> {
     let (kind, run) = match end {
         WorkEnd::Replied => return None,
-        WorkEnd::NotStarted => (SampleKind::ConnectionLost, RunState::NotRun),
+        WorkEnd::Declined => {
+            let mut declined = AttemptFailure::of(SampleKind::Refused, RunState::NotRun);
+            declined.code = Some(RefusalCode::UpstreamFailed);
+            return Some(declined);
+        }
+        WorkEnd::NotStarted | WorkEnd::Replaced => (SampleKind::ConnectionLost, RunState::NotRun),
         WorkEnd::Crashed => (SampleKind::Crashed, RunState::Unknown),
         WorkEnd::ConnectionLost => (SampleKind::ConnectionLost, RunState::Unknown),
         WorkEnd::Rejected => (SampleKind::Wrong, RunState::Unknown),
@@ -180,7 +192,7 @@
 struct RunEnd {
     end: WorkEnd,
     status: Option<u16>,
-    kept: Option<std::sync::Arc<[u8]>>,
+    kept: Option<Arc<[u8]>>,
 }
 
 impl RunEnd {
@@ -198,33 +210,33 @@
     slot: u16,
     request_id: String,
     keyed: bool,
-    request: Option<Request<super::backend::BackendBody>>,
-    method: Method,
-    reply_id_header: Option<String>,
+    request: Option<(Request<super::backend::BackendBody>, ReplyExpectation)>,
     reply: ReplySink,
 }
 
 impl WorkRun {
-    fn new(context: WorkContext, task: ExecutorTask) -> Self {
+    fn new(context: WorkContext, task: ExecutorTask, life: Option<Arc<str>>) -> Self {
         let request_id = task.offer.attempt.request.to_string();
-        let method = Method::from_bytes(task.method.as_bytes()).unwrap_or(Method::GET);
-        let head = BackendHead {
-            method: &method,
-            request_id: &request_id,
+        let ask = BackendAsk {
+            method: Method::from_bytes(task.method.as_bytes()).unwrap_or(Method::GET),
             target: task.target,
             headers: task.headers,
-            body_length: task.body_length,
+            request_id: request_id.clone(),
+            reply_id_header: task.reply_id_header,
+            life,
             time_left: task.offer.time_left,
+            body_length: task.body_length,
         };
-        let request = head.build();
+        let request = context.border.request(ask);
+        let request = request.map(|BackendRequest { head, expectation }| {
+            (head.map(|()| backend_body(task.body)), expectation)
+        });
         Self {
             context,
             slot: task.offer.slot,
             request_id,
             keyed: task.offer.ticket.is_some(),
-            request: request.map(|request| request.map(|()| backend_body(task.body))),
-            method,
-            reply_id_header: task.reply_id_header,
+            request,
             reply: task.reply,
         }
     }
@@ -233,7 +245,7 @@
         let Some(address) = self.context.directory.address(self.slot) else {
             return RunEnd::of(WorkEnd::NotStarted);
         };
-        let Some(request) = self.request.take() else {
+        let Some((request, expectation)) = self.request.take() else {
             return RunEnd::of(WorkEnd::NotStarted);
         };
         match self
@@ -243,21 +255,23 @@
             .await
         {
             Ok((response, connection)) => {
-                let end = self.read_reply(address, response).await;
+                let end = self.read_reply(address, response, &expectation).await;
                 if end.end == WorkEnd::Replied {
                     self.context.backends.keep(connection);
                 }
                 end
             }
             Err(SendFailure::NotSent) => RunEnd::of(WorkEnd::NotStarted),
-            Err(SendFailure::Broken) => RunEnd::of(self.broken(address).await),
+            Err(SendFailure::Broken { silent }) => RunEnd::of(self.broken(address, silent).await),
         }
     }
 
     /// Tells a backend server that ended from a connection that was lost: only the first refuses
     /// new connections. Blaming the server for a lost connection would be a false ejection.
-    async fn broken(&self, address: SocketAddr) -> WorkEnd {
-        self.context.backends.discard(self.slot);
+    async fn broken(&self, address: SocketAddr, silent: bool) -> WorkEnd {
+        if silent {
+            self.context.backends.discard(self.slot);
+        }
         if has_ended(address).await {
             WorkEnd::Crashed
         } else {
@@ -265,13 +279,23 @@
         }
     }
 
-    async fn read_reply(&self, address: SocketAddr, response: Response<Incoming>) -> RunEnd {
+    async fn read_reply(
+        &self,
+        address: SocketAddr,
+        response: Response<Incoming>,
+        expectation: &ReplyExpectation,
+    ) -> RunEnd {
         let (parts, mut body) = response.into_parts();
-        if !self.belongs(&parts.headers) {
-            return self.reject(EventCode::ReplyMismatched);
-        }
-        if !self.has_end(parts.status, &parts.headers) {
-            return self.reject(EventCode::ReplyMalformed);
+        let verdict = self
+            .context
+            .border
+            .judge(expectation, parts.status, &parts.headers);
+        match verdict {
+            ReplyVerdict::Own => {}
+            ReplyVerdict::Declined => return RunEnd::of(WorkEnd::Declined),
+            ReplyVerdict::Replaced => return RunEnd::of(WorkEnd::Replaced),
+            ReplyVerdict::Foreign => return self.reject(EventCode::ReplyMismatched),
+            ReplyVerdict::Endless => return self.reject(EventCode::ReplyMalformed),
         }
         let head = reply_head(parts.status, &parts.headers);
         self.reply.send(ReplyPart::Head(head.clone())).await;
@@ -312,7 +336,7 @@
         }
     }
 
-    fn kept_reply(&self, head: ReplyHead, body: &BytesMut) -> Option<std::sync::Arc<[u8]>> {
+    fn kept_reply(&self, head: ReplyHead, body: &BytesMut) -> Option<Arc<[u8]>> {
         if !self.keyed || body.len() > KEPT_LIMIT {
             return None;
         }
@@ -321,64 +345,7 @@
             headers: head.headers,
             body: body.to_vec(),
         };
-        reply.encode().map(std::sync::Arc::from)
-    }
-
-    /// Failure: a backend server answers late or out of order, and a caller would get the answer to
-    /// somebody else's request. A reply that names another request is rejected; where the contract
-    /// names the header, one that names none is rejected too.
-    fn belongs(&self, headers: &HeaderMap) -> bool {
-        let name = self.reply_id_header.as_deref();
-        match headers.get(name.unwrap_or(REQUEST_ID_HEADER)) {
-            Some(value) => value.as_bytes() == self.request_id.as_bytes(),
-            None => name.is_none(),
-        }
-    }
-
-    /// Failure: a reply that ends with its connection looks whole wherever it is cut. Only replies
-    /// that tell their length or mark their end can be known to be whole.
-    fn has_end(&self, status: StatusCode, headers: &HeaderMap) -> bool {
-        let bodyless = self.method == Method::HEAD
-            || status == StatusCode::NO_CONTENT
-            || status == StatusCode::NOT_MODIFIED;
-        bodyless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-    }
-}
-
-/// Head of a request to a backend server.
-struct BackendHead<'a> {
-    method: &'a Method,
-    request_id: &'a str,
-    target: String,
-    headers: Vec<(String, Vec<u8>)>,
-    body_length: Option<u64>,
-    time_left: Duration,
-}
-
-impl BackendHead<'_> {
-    /// The request, with its id and the time that is left; none when a part of it is malformed.
-    fn build(self) -> Option<Request<()>> {
-        let mut request = Request::builder()
-            .method(self.method)
-            .uri(self.target)
-            .body(())
-            .ok()?;
-        let headers = request.headers_mut();
-        for (name, value) in self.headers {
-            let name = HeaderName::try_from(name).ok()?;
-            headers.append(name, HeaderValue::from_bytes(&value).ok()?);
-        }
-        let id = HeaderValue::try_from(self.request_id).ok()?;
-        headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), id);
-        let millis = u64::try_from(self.time_left.as_millis()).unwrap_or(u64::MAX);
-        headers.insert(
-            HeaderName::from_static(TIMEOUT_HEADER),
-            HeaderValue::from(millis),
-        );
-        if let Some(length) = self.body_length {
-            headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
-        }
-        Some(request)
+        reply.encode().map(Arc::from)
     }
 }
 
--- a/crates/daemon/src/work/mod.rs
+++ b/crates/daemon/src/work/mod.rs
@@ -19,6 +19,8 @@
 pub use directory::BackendDirectory;
 pub use thread::{LoadBoard, PeerOrder, WorkContext, WorkParts, WorkThread};
 
+use std::sync::Arc;
+
 use sycamorelink_core::RequestRefusal;
 use sycamorelink_engine::AttemptOrder;
 use sycamorelink_policy::LoadHint;
@@ -72,8 +74,8 @@
 /// What the decision thread tells one piece of work.
 #[derive(Debug)]
 pub enum WorkCommand {
-    /// Hand it to the backend server.
-    Run,
+    /// Hand it to the backend server, of which this life is meant.
+    Run(Option<Arc<str>>),
     /// Refuse it.
     Refuse(RequestRefusal, LoadHint),
     /// Tell its failure.
--- a/crates/daemon/src/work/serving.rs
+++ b/crates/daemon/src/work/serving.rs
@@ -108,7 +108,8 @@
     let (parts_in, parts) = mpsc::channel(REPLY_DEPTH);
     let (body_in, body_out) = mpsc::channel(BODY_DEPTH);
     let (cancel, cancelled) = oneshot::channel();
-    let offer = offer_of(&context, peer, &head, extras.ticket);
+    let reply_id_header = extras.reply_id_header.clone();
+    let offer = offer_of(&context, peer, &head, extras);
     let task = ExecutorTask {
         offer,
         method: head.method,
@@ -116,7 +117,7 @@
         headers: head.headers,
         body: body_out,
         body_length: head.body_length,
-        reply_id_header: extras.reply_id_header,
+        reply_id_header,
         reply: ReplySink::new(attempt.number, parts_in),
         cancelled,
     };
@@ -134,7 +135,7 @@
     context: &WorkContext,
     peer: InstanceId,
     head: &WorkHead,
-    ticket: Option<sycamorelink_guard::DispatchTicket>,
+    extras: WorkExtras,
 ) -> WorkOffer {
     WorkOffer {
         work: context.next_work(),
@@ -146,7 +147,10 @@
         priority: head.priority,
         time_left: head.time_left,
         signature: head.signature,
-        ticket,
+        ticket: extras.ticket,
+        repeatable: extras.repeatable,
+        insist: extras.insist,
+        patience: extras.patience,
     }
 }
 
--- a/crates/daemon/src/work/thread.rs
+++ b/crates/daemon/src/work/thread.rs
@@ -21,6 +21,7 @@
 use super::backend::BackendPool;
 use super::serving::serve_peers;
 use super::{AttemptTask, BackendDirectory};
+use crate::border::BackendBorder;
 use crate::inbox::ShellInput;
 use crate::metrics::EventPort;
 use crate::ring::RingSender;
@@ -77,6 +78,8 @@
     pub loads: LoadBoard,
     /// Where events are logged.
     pub events: EventPort,
+    /// How backend servers are spoken to.
+    pub border: Arc<dyn BackendBorder>,
     works: Rc<AtomicU64>,
 }
 
@@ -110,6 +113,8 @@
     pub loads: LoadBoard,
     /// Where events are logged.
     pub events: EventPort,
+    /// How backend servers are spoken to.
+    pub border: Arc<dyn BackendBorder>,
     /// Turns true when the node stops taking work from peers.
     pub drain: watch::Receiver<bool>,
 }
@@ -173,6 +178,7 @@
             peers: PeerPool::new(parts.identity.clone(), parts.wire),
             loads: parts.loads,
             events: parts.events,
+            border: parts.border,
             works: Rc::new(AtomicU64::new(1)),
         };
         let serving = serve_peers(
--- a/crates/engine/src/agreement.rs
+++ b/crates/engine/src/agreement.rs
@@ -25,6 +25,9 @@
     /// Takes over a changed list of members. A member that is only silent stays in the list, so
     /// its death changes nothing here: it may still use its share behind a cut.
     pub(crate) fn roster_changed(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
+        if self.has_fleet_form() {
+            return;
+        }
         let digest = self.members_digest();
         if digest == self.roster_digest {
             return;
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -1,14 +1,15 @@
 //! Backend servers beside this node: their announcements, and what the fleet is told of them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::{RefusalCode, ServiceName, UpstreamId};
 use sycamorelink_limits::{SlotGate, WorkId};
-use sycamorelink_policy::UpstreamPhase;
+use sycamorelink_policy::{UpstreamBreaker, UpstreamPhase};
 use sycamorelink_roster::RosterEvent;
 
 use crate::command::NodeCommand;
-use crate::event::UpstreamAnnouncement;
+use crate::event::{UpstreamAnnouncement, UpstreamLife};
 use crate::node::{CLOSE_GRACE, LocalUpstream, NodeEngine};
 use crate::note::NodeNote;
 use crate::request::WorkPhase;
@@ -21,9 +22,13 @@
         announced: UpstreamAnnouncement,
         out: &mut Vec<NodeCommand>,
     ) {
+        let Some(announced) = self.admit_announcement(announced) else {
+            return;
+        };
         let slot = announced.slot;
         let lapses = now + self.settings.announcement;
         let known = self.upstreams.remove(&slot);
+        let ended = known.as_ref().map(|known| known.ended_by(&announced));
         let fresh = known.as_ref().is_none_or(|known| !known.up);
         let same = known.as_ref().is_some_and(|known| {
             known.up
@@ -33,9 +38,13 @@
         });
         let kept = known.filter(|known| is_same_life(known, &announced));
         let new_gate = kept.is_none();
+        // Failure: this node restarts after it acknowledged that its backend server leaves, hears
+        // of the leaving once more, and hands it work for another while. The grace is for peers
+        // that have not heard; a leaving that is the first thing known of a life may be old news.
+        let closes = if new_gate { now } else { now + CLOSE_GRACE };
         let mut upstream = kept.unwrap_or_else(|| self.new_upstream(now, &announced));
         upstream.closes = match announced.phase {
-            UpstreamPhase::Leaving => upstream.closes.or(Some(now + CLOSE_GRACE)),
+            UpstreamPhase::Leaving => upstream.closes.or(Some(closes)),
             UpstreamPhase::Starting | UpstreamPhase::Ready => None,
         };
         if !upstream.up {
@@ -43,12 +52,13 @@
             upstream.up = true;
         }
         upstream.lapses = lapses;
+        upstream.ended = ended.unwrap_or_default();
         upstream.announced = announced;
         let facts = facts_of(&upstream.announced);
         let phase = upstream.announced.phase;
         self.upstreams.insert(slot, upstream);
         if new_gate {
-            self.refuse_queued(now, slot, out);
+            self.refuse_queued(now, slot, RefusalCode::Overloaded, out);
         }
         if !same {
             self.note_announced(slot, fresh, phase, out);
@@ -71,17 +81,95 @@
         }
     }
 
+    /// An announcement as far as it is news; none when it is late or from a life that ended.
+    ///
+    /// Failure: an announcement is held up, its sender ends, and another life takes its place; the
+    /// late one would bring the dead life back. Each life counts its announcements, and a life that
+    /// another replaced is never taken again. One that leaves goes on leaving whatever it says.
+    fn admit_announcement(&self, announced: UpstreamAnnouncement) -> Option<UpstreamAnnouncement> {
+        let Some(life) = &announced.life else {
+            return Some(announced);
+        };
+        let Some(known) = self.upstreams.get(&announced.slot) else {
+            return Some(announced);
+        };
+        if known.ended.contains(&life.name) {
+            return None;
+        }
+        let same = known.announced.life.as_ref();
+        let same = same.filter(|same| same.name == life.name);
+        if same.is_some_and(|same| life.order <= same.order) {
+            return None;
+        }
+        let leaves = same.is_some() && known.announced.phase == UpstreamPhase::Leaving;
+        let phase = if leaves {
+            UpstreamPhase::Leaving
+        } else {
+            announced.phase
+        };
+        Some(UpstreamAnnouncement { phase, ..announced })
+    }
+
+    /// A backend server says that it ends. One that did not say before that it leaves goes on
+    /// serving for a while, so it is taken as leaving first.
+    pub(crate) fn on_withdrawal(
+        &mut self,
+        now: Duration,
+        slot: u16,
+        life: Option<&Arc<str>>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let Some(known) = self.upstreams.get_mut(&slot) else {
+            return;
+        };
+        let Some(name) = life else {
+            return self.on_withdrawn(now, slot, out);
+        };
+        let current = known.announced.life.as_ref();
+        if current.is_none_or(|current| current.name != *name) {
+            known.end_life(Arc::clone(name));
+            return;
+        }
+        if known.announced.phase == UpstreamPhase::Leaving {
+            known.end_life(Arc::clone(name));
+            return self.on_withdrawn(now, slot, out);
+        }
+        let mut leaving = known.announced.clone();
+        leaving.phase = UpstreamPhase::Leaving;
+        if let Some(life) = &mut leaving.life {
+            life.order += 1;
+        }
+        self.on_announced(now, leaving, out);
+    }
+
+    /// Another server answered where one life was meant: that life has ended, and what is there
+    /// now has not announced itself yet.
+    pub(crate) fn on_replaced(&mut self, now: Duration, slot: u16, out: &mut Vec<NodeCommand>) {
+        if let Some(known) = self.upstreams.get_mut(&slot)
+            && let Some(name) = known.life_name()
+        {
+            known.end_life(name);
+        }
+        self.on_withdrawn(now, slot, out);
+    }
+
     /// Failure: a backend server announces itself anew while work waits for it, and its slots are
     /// counted afresh. What waited in the former count is never started nor refused. It is refused
     /// here as not run, so that it may run elsewhere.
-    fn refuse_queued(&mut self, now: Duration, slot: u16, out: &mut Vec<NodeCommand>) {
+    pub(crate) fn refuse_queued(
+        &mut self,
+        now: Duration,
+        slot: u16,
+        code: RefusalCode,
+        out: &mut Vec<NodeCommand>,
+    ) {
         let queued = self
             .works
             .iter()
             .filter(|(_, work)| work.offer.slot == slot && work.phase == WorkPhase::Queued);
         let queued: Vec<WorkId> = queued.map(|(work, _)| *work).collect();
         for work in queued {
-            self.refuse_gated(now, work, RefusalCode::Overloaded, None, out);
+            self.refuse_gated(now, work, code, None, out);
         }
     }
 
@@ -94,11 +182,13 @@
         settings.slots = u32::from(announced.slots);
         LocalUpstream {
             announced: announced.clone(),
-            gate: SlotGate::new(settings, now),
+            gate: SlotGate::new(settings, now).warm_up_left(now, announced.warm_up),
+            breaker: UpstreamBreaker::new(now),
             lapses: now,
             closes: None,
             life: 0,
             up: true,
+            ended: Vec::new(),
         }
     }
 
@@ -188,10 +278,48 @@
     }
 }
 
+/// Lives of one backend server that are remembered as ended. A late announcement comes seconds
+/// after its sender's end, and a life lasts longer than that.
+const ENDED_LIVES: usize = 8;
+
+impl LocalUpstream {
+    /// Name of the life that runs now.
+    pub(crate) fn life_name(&self) -> Option<Arc<str>> {
+        let life = self.announced.life.as_ref();
+        life.map(|life| Arc::clone(&life.name))
+    }
+
+    /// Remembers that a life ended.
+    pub(crate) fn end_life(&mut self, name: Arc<str>) {
+        if !self.ended.contains(&name) {
+            self.ended.push(name);
+        }
+        if self.ended.len() > ENDED_LIVES {
+            self.ended.remove(0);
+        }
+    }
+
+    /// The lives that have ended once this announcement is taken.
+    fn ended_by(&self, announced: &UpstreamAnnouncement) -> Vec<Arc<str>> {
+        let mut ended = self.ended.clone();
+        let next = announced.life.as_ref().map(|life| &life.name);
+        if let Some(name) = self.life_name()
+            && next != Some(&name)
+        {
+            ended.push(name);
+        }
+        let surplus = ended.len().saturating_sub(ENDED_LIVES);
+        ended.drain(..surplus);
+        ended
+    }
+}
+
 /// A backend server that closed its gate and comes back is a new life of it.
 fn is_same_life(known: &LocalUpstream, announced: &UpstreamAnnouncement) -> bool {
     let reopened = known.closes.is_some() && announced.phase != UpstreamPhase::Leaving;
-    known.announced.slots == announced.slots && !reopened
+    let name = |life: &UpstreamLife| Arc::clone(&life.name);
+    let same = known.announced.life.as_ref().map(name) == announced.life.as_ref().map(name);
+    known.announced.slots == announced.slots && !reopened && same
 }
 
 /// What the fleet is told.
--- a/crates/engine/src/budgets.rs
+++ b/crates/engine/src/budgets.rs
@@ -22,9 +22,14 @@
     ) -> bool {
         let absent = matches!(
             report.code,
-            None | Some(RefusalCode::NoUpstream | RefusalCode::Draining)
+            None | Some(
+                RefusalCode::NoUpstream | RefusalCode::Draining | RefusalCode::UpstreamSuspect
+            )
         );
-        if report.run == RunState::NotRun && absent {
+        // Under a fleet contract a refusal by the node beside the backend server costs nothing: the
+        // budget is for what reaches backend servers, and the attempts of a request are few.
+        let refused = self.has_fleet_form() && report.code == Some(RefusalCode::Overloaded);
+        if report.run == RunState::NotRun && (absent || refused) {
             return true;
         }
         self.spend_retry(now, id, out)
@@ -39,10 +44,13 @@
         id: RequestId,
         out: &mut Vec<NodeCommand>,
     ) -> bool {
+        let slack = self.fleet_retry_slack();
         let Some(state) = self.requests.get(&id) else {
             return false;
         };
-        if budget_entry(&mut self.budgets, state).retries.withdraw(now) {
+        let retries = &mut budget_entry(&mut self.budgets, state).retries;
+        retries.set_slack(slack);
+        if retries.withdraw(now) {
             return true;
         }
         let note = NodeNote::RetryBudgetSpent {
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -60,6 +60,8 @@
     RunWork {
         /// The work.
         work: WorkId,
+        /// The life of the backend server that is meant, where it named itself.
+        life: Option<Arc<str>>,
     },
     /// Refuse the work; the backend server has not seen it and will not.
     RefuseWork {
@@ -150,6 +152,10 @@
     pub max_body: u64,
     /// Bytes of a reply held until it is whole; the daemon may hold fewer.
     pub reply_buffer: usize,
-    /// Whether the work may be stopped when the caller goes away.
-    pub cancellable: bool,
+    /// Whether the work may be run more than once.
+    pub repeatable: bool,
+    /// Whether it is to run although the upstream may be failing.
+    pub insist: bool,
+    /// How long it may wait for a slot; none when only its deadline bounds the wait.
+    pub patience: Option<Duration>,
 }
--- a/crates/engine/src/contracts.rs
+++ b/crates/engine/src/contracts.rs
@@ -18,7 +18,7 @@
 /// Routes kept compiled; those not asked for longest are compiled again when next asked for.
 const COMPILED_ROUTES: usize = 50_000;
 /// Key of the one rumour that tells the newest offset known.
-const HEAD_KEY: u64 = 0;
+pub(crate) const HEAD_KEY: u64 = 0;
 
 impl NodeEngine {
     pub(crate) fn on_log_read(
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -10,7 +10,16 @@
 use crate::command::{AttemptOrder, NodeCommand};
 use crate::node::{NodeEngine, TimerPurpose};
 use crate::note::NodeNote;
-use crate::request::OpenAttempt;
+use crate::request::{OpenAttempt, RequestState};
+/// Upstreams that may hold a request off before one is made to run it. Failure: most upstreams of a
+/// service fail part of their requests, every node beside one holds work off, and callers get
+/// nothing at all. Each refusal costs some milliseconds; a try that may fail is better than none.
+const HELD_MOST: u16 = 6;
+/// How long an upstream that held work off is not asked again for work that must not repeat. A
+/// trial takes about as long, and a question costs a round trip only.
+const HELD_FOR: Duration = Duration::from_millis(400);
+/// Share of the objective within which a run has to begin: work takes a third of it on average.
+const START_SHARE: f64 = 0.6;
 /// When a caller should come back to a service without a usable upstream.
 const NO_UPSTREAM_WAIT: Duration = Duration::from_secs(1);
 
@@ -24,14 +33,33 @@
         let service = self.requests.get(&id)?.rule.service.clone();
         self.ensure_pool(now, &service);
         self.pool_used.insert(service.clone(), now);
+        let held = self.held_upstreams(now, id);
         let state = self.requests.get(&id)?;
         let pool = self.pools.get_mut(&service)?;
         let tried = state.plan.exclude();
-        let upstream = pool.pick(now, tried.as_slice())?;
+        let tried = tried.as_slice();
+        let apart: Vec<UpstreamId> = tried.iter().copied().chain(held).collect();
+        let first = (apart.len() > tried.len()).then(|| pool.pick(now, &apart));
+        let upstream = first.flatten().or_else(|| pool.pick(now, tried))?;
         let executor = self.instance_of(upstream.node)?;
         Some((upstream, executor))
     }
 
+    /// Upstreams that held work off a moment ago, for work that must not repeat.
+    fn held_upstreams(&mut self, now: Duration, id: RequestId) -> Vec<UpstreamId> {
+        self.held_off.retain(|_, until| *until > now);
+        let state = self.requests.get(&id);
+        if state.is_none_or(|state| state.rule.repeat == RepeatClass::Idempotent) {
+            return Vec::new();
+        }
+        self.held_off.keys().copied().collect()
+    }
+
+    /// Notes that an upstream holds work off.
+    pub(crate) fn note_held_off(&mut self, now: Duration, upstream: UpstreamId) {
+        self.held_off.insert(upstream, now + HELD_FOR);
+    }
+
     pub(crate) fn refuse_no_upstream(
         &mut self,
         now: Duration,
@@ -101,7 +129,9 @@
             reply_id_header: state.terms().reply_id_header.clone(),
             max_body: state.rule.max_body,
             reply_buffer: usize::try_from(state.rule.reply_buffer).unwrap_or(usize::MAX),
-            cancellable: state.rule.repeat == RepeatClass::Idempotent,
+            repeatable: state.rule.repeat == RepeatClass::Idempotent,
+            insist: state.held >= HELD_MOST,
+            patience: patience_of(now, state),
         };
         out.push(NodeCommand::Dispatch(order));
     }
@@ -127,7 +157,7 @@
         let Some(state) = self.requests.get(&id) else {
             return;
         };
-        if state.open.len() != 1 {
+        if state.open.len() != 1 || state.has_run_everywhere() {
             return;
         }
         let Some((upstream, _)) = self.choose(now, id) else {
@@ -148,6 +178,15 @@
     }
 }
 
+/// How long a request may wait for a slot: a run has to begin well within the objective, or the
+/// slot is better used for one that still can meet it. Customers' contracts leave it to the deadline.
+fn patience_of(now: Duration, state: &RequestState) -> Option<Duration> {
+    state.rule.attempts?;
+    let latency = state.rule.objective?.latency;
+    let latest = state.arrived + latency.mul_f64(START_SHARE);
+    Some(latest.saturating_sub(now))
+}
+
 /// The refusal where no upstream may be used.
 pub(crate) fn no_upstream() -> RequestRefusal {
     RequestRefusal::not_run(RefusalCode::NoUpstream).retry_after(NO_UPSTREAM_WAIT)
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -37,6 +37,7 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let id = report.attempt.request;
+        let fleet = self.has_fleet_form();
         let Some(state) = self.requests.get_mut(&id) else {
             if report.status.is_some() {
                 out.push(NodeCommand::Note(NodeNote::ReplyLate { request: id }));
@@ -56,11 +57,11 @@
             }));
         }
         if let Some(pool) = self.pools.get_mut(&service) {
-            pool.observe(
-                now,
-                attempt.upstream,
-                &sample_of(report, now.saturating_sub(attempt.sent)),
-            );
+            let mut sample = sample_of(report, now.saturating_sub(attempt.sent));
+            // Under a fleet contract the breaker beside the upstream answers for failures that its
+            // node saw and told; here only what the way between shows counts.
+            sample.excused |= fleet && report.load.is_some() && sample.kind != SampleKind::Served;
+            pool.observe(now, attempt.upstream, &sample);
         }
         if report.run == RunState::Ran && !is_server_error(report) {
             if earlier {
@@ -100,6 +101,13 @@
         if report.run != RunState::NotRun {
             state.uncertain += 1;
         }
+        if report.code == Some(RefusalCode::UpstreamSuspect) {
+            state.held += 1;
+            self.note_held_off(now, attempt.upstream);
+        }
+        let Some(state) = self.requests.get_mut(&id) else {
+            return;
+        };
         if !state.open.is_empty() {
             return;
         }
@@ -109,7 +117,9 @@
         }
         let outcome = AttemptOutcome {
             run: report.run,
-            request_fault: report.code == Some(RefusalCode::CrashRequest) || crashed_twice,
+            request_fault: report.code == Some(RefusalCode::CrashRequest)
+                || crashed_twice
+                || state.has_run_everywhere(),
             retry_after: None,
         };
         let replayable = state.caller.replayable || report.run == RunState::NotRun;
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sycamorelink_contract::FleetContract;
 use sycamorelink_core::{
     AttemptId, CustomerName, InstanceId, NodeId, RefusalCode, RequestId, RunState, ServiceName,
 };
@@ -74,6 +75,8 @@
     UpstreamWithdrawn {
         /// Its number on this node.
         slot: u16,
+        /// The life that withdraws, where it says so.
+        life: Option<Arc<str>>,
     },
     /// Records of the platform's log, in order.
     LogRead {
@@ -107,6 +110,10 @@
         /// Its bytes.
         bytes: Arc<[u8]>,
     },
+    /// The newest fleet contract that the source has.
+    FleetContract(Arc<FleetContract>),
+    /// Gossip addresses of other nodes were read from where nodes announce themselves.
+    SeedsFound(Vec<SocketAddr>),
     /// Whether the platform's log can be reached changed.
     LogReachable(bool),
     /// The platform asked this node to leave.
@@ -142,6 +149,8 @@
     pub token: Arc<str>,
     /// HTTP method.
     pub method: Arc<str>,
+    /// Host that the request names, in lower case and without a port; empty where none counts.
+    pub host: Arc<str>,
     /// Path without the query.
     pub path: Arc<str>,
     /// Path with the query.
@@ -202,6 +211,13 @@
     pub signature: u64,
     /// Proof of the grants, for a request that must not repeat.
     pub ticket: Option<DispatchTicket>,
+    /// Whether the work may be run more than once.
+    pub repeatable: bool,
+    /// Whether it is to run although the backend server may be failing: others were asked before
+    /// and held it off as well.
+    pub insist: bool,
+    /// How long it may wait for a slot; none when only its deadline bounds the wait.
+    pub patience: Option<Duration>,
 }
 
 /// How work ended at the backend server.
@@ -224,6 +240,10 @@
 pub enum WorkEnd {
     /// The backend server gave a whole reply.
     Replied,
+    /// The backend server answered that it did not run the work.
+    Declined,
+    /// Another life, or another server, answered in place of the one that was meant.
+    Replaced,
     /// The backend server could not be connected to, so it never saw the work.
     NotStarted,
     /// The backend server went away while it ran the work.
@@ -249,4 +269,17 @@
     pub slots: u16,
     /// Whether it is ready.
     pub phase: UpstreamPhase,
+    /// Which life of the backend server speaks, where it says so.
+    pub life: Option<UpstreamLife>,
+    /// How much longer it stays slow after its start; none when it does not say.
+    pub warm_up: Option<Duration>,
+}
+
+/// One life of a backend server, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamLife {
+    /// Name of the life, never used again.
+    pub name: Arc<str>,
+    /// Grows with each announcement of this life, so that a late one can be told.
+    pub order: u64,
 }
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -7,14 +7,17 @@
 
 use std::time::Duration;
 
-use sycamorelink_core::{AttemptId, InstanceId, RefusalCode, RequestRefusal, UpstreamId};
+use sycamorelink_core::{
+    AttemptId, InstanceId, RefusalCode, RequestRefusal, ServiceName, UpstreamId,
+};
 use sycamorelink_guard::{DispatchTicket, GuardEvent, WorkOutcome};
 use sycamorelink_limits::{CrashCheck, GateCommand, GateDecision, GateLoad, WorkClass, WorkId};
-use sycamorelink_policy::{LoadHint, SampleKind, UpstreamSample};
+use sycamorelink_policy::{BreakerVerdict, LoadHint, SampleKind, UpstreamSample};
 
 use crate::command::NodeCommand;
 use crate::event::{WorkEnd, WorkOffer, WorkReport};
-use crate::node::NodeEngine;
+use crate::node::{HandoverState, LocalUpstream, NodeEngine};
+use crate::note::NodeNote;
 use crate::request::{WorkPhase, WorkState};
 
 /// First status that counts as a server's error.
@@ -35,20 +38,23 @@
             phase: WorkPhase::Queued,
             started: now,
             on_turn: false,
+            on_trial: false,
             offer,
         };
         let slot = state.offer.slot;
+        let service = state.offer.service.clone();
         let signature = state.signature();
         self.works.insert(work, state);
-        if !self
-            .upstreams
-            .get(&slot)
-            .is_some_and(|upstream| upstream.up)
-        {
+        if !self.serves(slot, &service) {
             let refusal = RequestRefusal::not_run(RefusalCode::NoUpstream);
             self.refuse_work(work, refusal.retry_after(ABSENT_WAIT), out);
             return;
         }
+        if !self.passes_breaker(now, work) {
+            let refusal = RequestRefusal::not_run(RefusalCode::UpstreamSuspect);
+            self.refuse_work(work, refusal.retry_after(ABSENT_WAIT), out);
+            return;
+        }
         if signature.0 == 0 {
             self.ask_guard(now, work, out);
             return;
@@ -60,6 +66,68 @@
         }
     }
 
+    /// Failure: a backend server ends, one of another service takes its place beside this node, and
+    /// a peer that has not heard of it sends work of the old service. The work names its service,
+    /// and what runs here now is compared with it.
+    fn serves(&self, slot: u16, service: &ServiceName) -> bool {
+        let upstream = self.upstreams.get(&slot);
+        let there =
+            upstream.is_some_and(|upstream| upstream.up && upstream.announced.service == *service);
+        there && self.handover != HandoverState::Drained
+    }
+
+    /// Under customers' contracts the callers' view decides alone, as their tests measure it.
+    fn passes_breaker(&mut self, now: Duration, work: WorkId) -> bool {
+        if !self.has_fleet_form() {
+            return true;
+        }
+        let Some(state) = self.works.get_mut(&work) else {
+            return false;
+        };
+        let Some(upstream) = self.upstreams.get_mut(&state.offer.slot) else {
+            return false;
+        };
+        if state.offer.insist {
+            return true;
+        }
+        let verdict = upstream.breaker.admit(now, state.offer.repeatable);
+        state.on_trial = verdict == BreakerVerdict::Trial;
+        verdict != BreakerVerdict::Held
+    }
+
+    /// Tells the breaker how work ended; `kind` is none when it ended without a run.
+    fn tell_breaker(
+        &mut self,
+        now: Duration,
+        work: WorkId,
+        kind: Option<SampleKind>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let Some(state) = self.works.get_mut(&work) else {
+            return;
+        };
+        let trial = std::mem::take(&mut state.on_trial);
+        if let Some(upstream) = self.upstreams.get_mut(&state.offer.slot) {
+            let before = upstream.breaker.is_suspect();
+            if let Some(kind) = kind {
+                upstream.breaker.ended(now, kind);
+            }
+            if trial {
+                upstream.breaker.trial_ended(now);
+            }
+            let suspect = upstream.breaker.is_suspect();
+            if suspect != before {
+                out.push(NodeCommand::Note(NodeNote::BreakerTurned {
+                    id: upstream_id(self.own.instance, state.offer.slot),
+                    service: state.offer.service.clone(),
+                    suspect,
+                    kind,
+                    odds: upstream.breaker.odds(),
+                }));
+            }
+        }
+    }
+
     /// A keyed request needs the executor's own record before it may run here.
     pub(crate) fn ask_guard(&mut self, now: Duration, work: WorkId, out: &mut Vec<NodeCommand>) {
         let Some(state) = self.works.get(&work) else {
@@ -103,9 +171,11 @@
             deadline: state.deadline,
             expected: Duration::ZERO,
         };
+        let patience = state.offer.patience;
         let Some(upstream) = self.upstreams.get_mut(&state.offer.slot) else {
             return;
         };
+        let class = upstream.gate.start_within(now, class, patience);
         match upstream.gate.offer(now, work, class) {
             GateDecision::Run => self.start_work(now, work, out),
             GateDecision::Queued => {}
@@ -121,11 +191,14 @@
         };
         state.phase = WorkPhase::Running;
         state.started = now;
-        let id = upstream_id(self.own.instance, state.offer.slot);
+        let slot = state.offer.slot;
+        let id = upstream_id(self.own.instance, slot);
         if let Some(pool) = self.pools.get_mut(&state.offer.service) {
             pool.started_here(now, id);
         }
-        out.push(NodeCommand::RunWork { work });
+        let upstream = self.upstreams.get(&slot);
+        let life = upstream.and_then(LocalUpstream::life_name);
+        out.push(NodeCommand::RunWork { work, life });
     }
 
     /// The node beside a backend server sees every run on it, whoever sent it, and so finds a
@@ -135,7 +208,8 @@
             return;
         };
         let latency = now.saturating_sub(state.started);
-        let sample = UpstreamSample::new(kind_of(report), latency);
+        let mut sample = UpstreamSample::new(kind_of(report), latency);
+        sample.excused = self.has_fleet_form() && sample.kind != SampleKind::Served;
         let id = upstream_id(self.own.instance, state.offer.slot);
         if let Some(pool) = self.pools.get_mut(&state.offer.service) {
             pool.ended_here(now, id, &sample);
@@ -182,6 +256,7 @@
         refusal: RequestRefusal,
         out: &mut Vec<NodeCommand>,
     ) {
+        self.tell_breaker(self.now, work, None, out);
         if let Some(state) = self.works.remove(&work) {
             let load = self.load_of(state.offer.slot);
             out.push(NodeCommand::RefuseWork {
@@ -215,6 +290,7 @@
         work: WorkId,
         out: &mut Vec<NodeCommand>,
     ) {
+        self.tell_breaker(now, work, None, out);
         let Some(state) = self.works.remove(&work) else {
             return;
         };
@@ -247,9 +323,12 @@
         let slot = state.offer.slot;
         let signature = state.signature();
         let on_turn = state.on_turn;
+        self.tell_breaker(now, work, Some(kind_of(report)), out);
         self.observe_here(now, report);
         match report.end {
             WorkEnd::Crashed => self.on_backend_crash(now, work, slot, out),
+            WorkEnd::Replaced => self.on_replaced(now, slot, out),
+            WorkEnd::NotStarted if self.has_fleet_form() => self.on_withdrawn(now, slot, out),
             WorkEnd::Replied => {
                 let mut commands = Vec::new();
                 self.crash.completed(now, signature, &mut commands);
@@ -263,19 +342,32 @@
         self.note_if_idle(slot, out);
         let mut commands = Vec::new();
         if let Some(upstream) = self.upstreams.get_mut(&slot) {
-            upstream.gate.finished(now, work, &mut commands);
+            // An end without a reply, such as a reset, says nothing about how long work takes.
+            if report.end == WorkEnd::Replied {
+                upstream.gate.finished(now, work, &mut commands);
+            } else {
+                upstream.gate.released(now, work, &mut commands);
+            }
         }
         self.on_gate_commands(now, commands, out);
     }
 
     pub(crate) fn tick_gates(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
         let mut commands = Vec::new();
-        for upstream in self.upstreams.values_mut() {
-            if upstream.closes.is_some_and(|at| at <= now) {
+        let mut closed = Vec::new();
+        for (slot, upstream) in &mut self.upstreams {
+            if upstream.closes.is_some_and(|at| at <= now) && !upstream.gate.is_closed() {
                 upstream.gate.close();
+                closed.push(*slot);
             }
             upstream.gate.tick(now, &mut commands);
         }
+        // Failure: work waits for a slot of a backend server that leaves and is handed to it
+        // seconds after its leaving was acknowledged. What waits when the gate closes is refused
+        // as not run, so that it may run elsewhere.
+        for slot in closed {
+            self.refuse_queued(now, slot, RefusalCode::Draining, out);
+        }
         self.on_gate_commands(now, commands, out);
     }
 
@@ -328,7 +420,10 @@
             SampleKind::Failed
         }
         WorkEnd::Replied => SampleKind::Served,
-        WorkEnd::NotStarted | WorkEnd::ConnectionLost => SampleKind::ConnectionLost,
+        WorkEnd::Declined => SampleKind::Refused,
+        WorkEnd::NotStarted | WorkEnd::Replaced | WorkEnd::ConnectionLost => {
+            SampleKind::ConnectionLost
+        }
         WorkEnd::Crashed => SampleKind::Crashed,
         WorkEnd::Rejected => SampleKind::Wrong,
         WorkEnd::Silent => SampleKind::Silent,
@@ -343,7 +438,7 @@
 fn outcome_of(report: &WorkReport) -> WorkOutcome {
     match report.end {
         WorkEnd::Replied => WorkOutcome::Ran(report.reply.clone()),
-        WorkEnd::NotStarted => WorkOutcome::NotRun,
+        WorkEnd::NotStarted | WorkEnd::Declined | WorkEnd::Replaced => WorkOutcome::NotRun,
         WorkEnd::Crashed
         | WorkEnd::ConnectionLost
         | WorkEnd::Rejected
--- /dev/null
+++ b/crates/engine/src/fleet.rs
@@ -0,0 +1,265 @@
+//! A fleet contract: taken from its source or from a peer, spread, and read for each request.
+//!
+//! ```text
+//! source ──▶ adopt ──▶ FleetTable ──▶ open_request
+//!              │ ▲
+//!       rumour ▼ │ contract
+//!            peers
+//! ```
+//!
+//! A contract replaces the one in force only when its version is greater, whoever offers it. A node
+//! that the source turns away hears the newest version as a rumour and asks a peer for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
+use sycamorelink_contract::{CustomerIndex as TableIndex, FleetContract, FleetTable, RouteRule};
+use sycamorelink_core::{InstanceId, NodeId, RefusalCode};
+use sycamorelink_policy::PoolSettings;
+use sycamorelink_roster::{RosterEvent, topic};
+
+use crate::command::NodeCommand;
+use crate::contracts::{HEAD_KEY, leaning_of};
+use crate::event::CallerRequest;
+use crate::message::{ContractAsk, PeerMessage};
+use crate::node::NodeEngine;
+use crate::note::NodeNote;
+
+/// Index of the one customer of a fleet contract; no customer of a chain of contracts has it.
+pub(crate) const FLEET_INDEX: TableIndex = TableIndex(u32::MAX);
+/// How long a rumour of a newer version may be ahead of the source before a peer is asked: a
+/// source in health answers its waiting readers within some ten milliseconds.
+const SOURCE_LEAD: Duration = Duration::from_millis(200);
+/// First ejection under a fleet contract. Faults of the users' backend servers last 4 to 9 s, and
+/// capacity that stays away after them is missed at once.
+const FLEET_EJECTION: Duration = Duration::from_secs(3);
+/// How long a new or returned upstream takes to its full share: theirs stay slow for about 3 s.
+const FLEET_WARM_UP: Duration = Duration::from_secs(3);
+/// Time constant with which scores fade, some lengths of a fault.
+const FLEET_FADE: Duration = Duration::from_secs(15);
+/// Step between two draws of one route, as a share of the whole. The golden ratio spreads any run
+/// of draws more evenly over the parts than chance would, whatever their weights.
+const DRAW_STEP: f64 = 0.618_033_988_749_894_9;
+
+/// Where the contracts of a fleet come from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ContractForm {
+    /// One for each customer, each a chain of amended versions in the log.
+    #[default]
+    Customers,
+    /// One for the whole fleet, published as a whole and open to callers without a token. No route
+    /// takes keys and no customer has limits, so neither guards nor shares run.
+    Fleet,
+}
+
+/// The fleet contract as far as this node knows it.
+#[derive(Debug)]
+pub(crate) struct FleetState {
+    /// The contract in force and its compiled form.
+    pub(crate) known: Option<(Arc<FleetContract>, Arc<FleetTable>)>,
+    /// The newest version heard of, its publisher, and when it was heard.
+    head: Option<(u64, NodeId, Duration)>,
+    /// Where the next draw for a split route stands, from 0 to 1.
+    draw: f64,
+}
+
+impl FleetState {
+    /// Nodes start their draws at different places, so that they do not all send to one part at
+    /// the same time.
+    pub(crate) fn new(seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        Self {
+            known: None,
+            head: None,
+            draw: random.random(),
+        }
+    }
+
+    /// The version in force, 0 for none.
+    pub(crate) fn version(&self) -> u64 {
+        self.known.as_ref().map_or(0, |(_, table)| table.version())
+    }
+}
+
+impl NodeEngine {
+    /// Whether the contracts are one for the whole fleet.
+    pub(crate) fn has_fleet_form(&self) -> bool {
+        self.settings.contracts == ContractForm::Fleet
+    }
+
+    /// Whether any contract is in force.
+    pub(crate) fn knows_contracts(&self) -> bool {
+        !self.in_force.is_empty() || self.fleet.known.is_some()
+    }
+
+    /// Version of the fleet contract in force, 0 for none.
+    #[must_use]
+    pub fn fleet_version(&self) -> u64 {
+        self.fleet.version()
+    }
+
+    /// Takes a contract unless one as new is in force.
+    pub(crate) fn adopt_fleet(
+        &mut self,
+        now: Duration,
+        contract: Arc<FleetContract>,
+        from: Option<InstanceId>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let version = contract.version;
+        let before = self.fleet.version();
+        if version <= before {
+            return;
+        }
+        if let Some(finding) = contract.validate().0.into_iter().next() {
+            out.push(NodeCommand::Note(NodeNote::ContractRejected {
+                offset: version,
+                reason: format!("{}: {}", finding.place, finding.message),
+            }));
+            return;
+        }
+        let table = Arc::new(FleetTable::new(&contract));
+        self.fleet.known = Some((contract, table));
+        out.push(NodeCommand::Note(NodeNote::FleetContractTaken {
+            version,
+            before,
+            from,
+        }));
+        self.refresh_fleet_pools();
+        out.push(NodeCommand::ContractsChanged);
+        let event = RosterEvent::Publish {
+            topic: topic::CONTRACT_HEAD,
+            key: HEAD_KEY,
+            version,
+            body: Vec::new(),
+        };
+        self.tell_roster(now, event, out);
+    }
+
+    fn refresh_fleet_pools(&mut self) {
+        let settings = self.fleet_pool_settings();
+        for pool in self.pools.values_mut() {
+            pool.apply(settings.clone());
+        }
+    }
+
+    /// This node's part of the retries that the whole fleet may make besides, in thousandths.
+    pub(crate) fn fleet_retry_slack(&self) -> u64 {
+        let slack = self.fleet.known.as_ref();
+        let slack = slack.map_or(0, |(contract, _)| u64::from(contract.retry_slack));
+        let members = u64::try_from(self.roster.members().len()).unwrap_or(u64::MAX);
+        slack * 1000 / members.max(1)
+    }
+
+    /// Settings of the pools under the fleet contract.
+    pub(crate) fn fleet_pool_settings(&self) -> PoolSettings {
+        let leaning = self.fleet.known.as_ref();
+        let leaning = leaning.map(|(contract, _)| leaning_of(contract.leaning));
+        PoolSettings {
+            eject_for: FLEET_EJECTION,
+            eject_longest: FLEET_EJECTION * 4,
+            forgive_after: FLEET_EJECTION * 8,
+            warm_up: FLEET_WARM_UP,
+            fade: FLEET_FADE,
+            ..PoolSettings::for_leaning(leaning.unwrap_or_default())
+        }
+    }
+
+    /// Somebody in the fleet has this version.
+    pub(crate) fn on_fleet_head(&mut self, now: Duration, version: u64, origin: NodeId) {
+        let known = self.fleet.head.map_or(0, |(version, ..)| version);
+        if version > known.max(self.fleet.version()) {
+            self.fleet.head = Some((version, origin, now));
+        }
+    }
+
+    /// Asks a peer for the newest contract, when the source has not given it in time. A node that
+    /// starts while the source is away asks whether or not it heard of a version.
+    pub(crate) fn pull_fleet(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
+        if now < self.next_pull {
+            return;
+        }
+        let own = self.fleet.version();
+        let asked = match self.fleet.head {
+            Some((version, origin, heard)) if version > own => {
+                (now >= heard + SOURCE_LEAD).then_some(origin)
+            }
+            _ if own == 0 => None,
+            _ => return,
+        };
+        let Some(peer) = self.pull_peer(asked, own) else {
+            return;
+        };
+        self.next_pull = now + SOURCE_LEAD;
+        let ask = ContractAsk::Fleet { newer_than: own };
+        self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
+    }
+
+    fn pull_peer(&mut self, origin: Option<NodeId>, own: u64) -> Option<InstanceId> {
+        let known = origin.and_then(|node| self.instance_of(node));
+        if known.is_some() || (origin.is_none() && own > 0) {
+            return known;
+        }
+        self.pull_source()
+    }
+
+    /// Answers a peer that asks for a newer contract, if this node has one.
+    pub(crate) fn on_fleet_ask(
+        &mut self,
+        from: InstanceId,
+        newer_than: u64,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let Some((contract, _)) = &self.fleet.known else {
+            return;
+        };
+        if contract.version <= newer_than {
+            return;
+        }
+        match serde_json::to_vec(contract.as_ref()) {
+            Ok(page) => {
+                let ask = ContractAsk::Fleet { newer_than };
+                self.send_peer(from, PeerMessage::ContractPage { ask, page }, out);
+            }
+            Err(error) => out.push(NodeCommand::Note(NodeNote::ContractRejected {
+                offset: contract.version,
+                reason: format!("the contract cannot be encoded for a peer: {error}"),
+            })),
+        }
+    }
+
+    pub(crate) fn on_fleet_page(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        page: &[u8],
+        out: &mut Vec<NodeCommand>,
+    ) {
+        match serde_json::from_slice::<FleetContract>(page) {
+            Ok(contract) => self.adopt_fleet(now, Arc::new(contract), Some(from), out),
+            Err(error) => out.push(NodeCommand::Note(NodeNote::ContractRejected {
+                offset: self.fleet.version(),
+                reason: format!("a contract from {from} cannot be read: {error}"),
+            })),
+        }
+    }
+
+    /// The rule for a request under the fleet contract.
+    pub(crate) fn fleet_rule(&mut self, caller: &CallerRequest) -> Result<RouteRule, RefusalCode> {
+        let Some((_, table)) = self.fleet.known.clone() else {
+            return Err(RefusalCode::NotReady);
+        };
+        let rule = table
+            .find(&caller.host, &caller.path)
+            .ok_or(RefusalCode::UnknownRoute)?;
+        if rule.is_split() {
+            self.fleet.draw = (self.fleet.draw + DRAW_STEP).fract();
+        }
+        rule.part(self.fleet.draw)
+            .cloned()
+            .ok_or(RefusalCode::UnknownRoute)
+    }
+}
--- a/crates/engine/src/guarding.rs
+++ b/crates/engine/src/guarding.rs
@@ -26,13 +26,25 @@
 const KEPT_STATUS: u16 = 200;
 
 impl NodeEngine {
-    /// Gives the guard an event and carries out what it commands.
+    /// When the guard wants to be woken. Under a fleet contract no route takes keys, and it sleeps.
+    pub(crate) fn guard_wake(&self) -> Option<Duration> {
+        if self.has_fleet_form() {
+            return None;
+        }
+        self.guard.next_wake()
+    }
+
+    /// Gives the guard an event and carries out what it commands. Under a fleet contract no route
+    /// takes keys: nothing is told, kept or sent.
     pub(crate) fn tell_guard(
         &mut self,
         now: Duration,
         event: GuardEvent,
         out: &mut Vec<NodeCommand>,
     ) {
+        if self.has_fleet_form() {
+            return;
+        }
         let mut commands = Vec::new();
         self.guard.handle(now, event, &mut commands);
         for command in commands {
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -19,7 +19,8 @@
 use crate::command::NodeCommand;
 use crate::dispatch::no_upstream;
 use crate::event::CallerRequest;
-use crate::node::{LEAVE_SERVING, NodeEngine, TimerPurpose};
+use crate::fleet::FLEET_INDEX;
+use crate::node::{HandoverState, NodeEngine, TimerPurpose};
 use crate::note::{NodeNote, RequestSummary};
 use crate::request::{RequestPhase, RequestState};
 
@@ -41,8 +42,13 @@
             Ok(state) => {
                 self.timers
                     .insert((state.deadline, TimerPurpose::Deadline, id));
+                let open = state.customer.0 == FLEET_INDEX.0;
                 self.requests.insert(id, state);
-                self.try_share(now, id, out);
+                if open {
+                    self.begin(now, id, out);
+                } else {
+                    self.try_share(now, id, out);
+                }
             }
             Err(refusal) => {
                 let summary = RequestSummary {
@@ -64,17 +70,14 @@
     }
 
     fn open_request(
-        &self,
+        &mut self,
         now: Duration,
         caller: CallerRequest,
     ) -> Result<RequestState, RequestRefusal> {
-        if self
-            .draining
-            .is_some_and(|since| now >= since + LEAVE_SERVING)
-        {
+        if self.takes_no_more(now) {
             return Err(RequestRefusal::not_run(RefusalCode::Draining).retry_after(ELSEWHERE_WAIT));
         }
-        if self.in_force.is_empty() {
+        if !self.knows_contracts() {
             return Err(RequestRefusal::not_run(RefusalCode::NotReady).retry_after(ELSEWHERE_WAIT));
         }
         let (customer, rule) = self.route_of(&caller).map_err(RequestRefusal::not_run)?;
@@ -99,7 +102,7 @@
             arrived: now,
             deadline: now + time,
             phase: RequestPhase::AwaitingShare,
-            plan: RetryPlan::new(idempotent, now + time),
+            plan: plan_of(idempotent, now + time, self.has_fleet_form()),
             open: Vec::new(),
             attempts: 0,
             key,
@@ -109,6 +112,7 @@
             signature,
             share_held: false,
             share_next: None,
+            held: 0,
             uncertain: 0,
             last: None,
             caller,
@@ -116,7 +120,19 @@
         })
     }
 
-    fn route_of(&self, caller: &CallerRequest) -> Result<(TableIndex, RouteRule), RefusalCode> {
+    /// Failure: a leaving node tells that nothing is left, a caller's request comes while its process
+    /// stops, and its connection is cut with the request at an upstream. A node that has told so
+    /// refuses, as does one that has served on for as long as a leaving node does.
+    fn takes_no_more(&self, now: Duration) -> bool {
+        let since = self.draining;
+        self.handover == HandoverState::Drained
+            || since.is_some_and(|since| now >= since + self.settings.leave_serving)
+    }
+
+    fn route_of(&mut self, caller: &CallerRequest) -> Result<(TableIndex, RouteRule), RefusalCode> {
+        if self.has_fleet_form() {
+            return Ok((FLEET_INDEX, self.fleet_rule(caller)?));
+        }
         let customer = self
             .table
             .find_customer(caller.token.as_bytes())
@@ -220,11 +236,16 @@
     }
 
     fn begin(&mut self, now: Duration, id: RequestId, out: &mut Vec<NodeCommand>) {
+        let fleet = self.has_fleet_form();
         let Some(state) = self.requests.get_mut(&id) else {
             return;
         };
         let pair = budget_entry(&mut self.budgets, state);
-        pair.retries.deposit(now);
+        // Under a fleet contract the bound on repeats counts what reaches backend servers; only what
+        // may be repeated adds to it, since calls that a repeated run makes count as repeats too.
+        if !fleet || state.rule.repeat == RepeatClass::Idempotent {
+            pair.retries.deposit(now);
+        }
         pair.hedges.deposit(now);
         if state.key.is_some() {
             self.read_body(id, out);
@@ -268,6 +289,11 @@
     }
 }
 
+fn plan_of(idempotent: bool, deadline: Duration, fleet: bool) -> RetryPlan {
+    let plan = RetryPlan::new(idempotent, deadline);
+    if fleet { plan.patient() } else { plan }
+}
+
 /// The key of a request that must not repeat; none when it may, or when the contract lets it run
 /// once for each send.
 fn key_of(rule: &RouteRule, key: Option<&str>) -> Result<Option<KeyId>, RefusalCode> {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -27,6 +27,7 @@
 mod ending;
 mod event;
 mod executor;
+mod fleet;
 mod guarding;
 mod ingress;
 mod membership;
@@ -41,9 +42,10 @@
 
 pub use command::{AttemptOrder, NodeCommand};
 pub use event::{
-    AttemptReport, CallerRequest, LogEntry, LogStream, NodeEvent, UpstreamAnnouncement, WorkEnd,
-    WorkOffer, WorkReport,
+    AttemptReport, CallerRequest, LogEntry, LogStream, NodeEvent, UpstreamAnnouncement,
+    UpstreamLife, WorkEnd, WorkOffer, WorkReport,
 };
+pub use fleet::ContractForm;
 pub use message::{ContractAsk, PeerMessage};
 pub use node::NodeEngine;
 pub use note::{NodeNote, RequestSummary};
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::command::NodeCommand;
-use crate::message::PeerMessage;
+use crate::message::{ContractAsk, PeerMessage};
 use crate::node::NodeEngine;
 use crate::note::NodeNote;
 
@@ -98,7 +98,11 @@
                 ..
             } => {
                 if topic == topic::CONTRACT_HEAD {
-                    self.on_contract_head(version, origin);
+                    if self.has_fleet_form() {
+                        self.on_fleet_head(now, version, origin);
+                    } else {
+                        self.on_contract_head(version, origin);
+                    }
                 }
             }
             RosterCommand::IncarnationRaised(instance) => {
@@ -265,6 +269,13 @@
             PeerMessage::HeadReply { offset, .. } => {
                 self.heads.insert(from.node, offset);
             }
+            PeerMessage::ContractPull {
+                ask: ContractAsk::Fleet { newer_than },
+            } => self.on_fleet_ask(from, newer_than, out),
+            PeerMessage::ContractPage {
+                ask: ContractAsk::Fleet { .. },
+                page,
+            } => self.on_fleet_page(now, from, &page, out),
             PeerMessage::ContractPull { ask } => self.on_contract_pull(from, ask, out),
             PeerMessage::ContractPage { ask, page } => {
                 self.on_contract_page(now, from, &ask, &page, out);
@@ -278,12 +289,18 @@
         event: ShareEvent,
         out: &mut Vec<NodeCommand>,
     ) {
+        if self.has_fleet_form() {
+            return;
+        }
         let mut commands = Vec::new();
         self.shares.handle(now, event, &mut commands);
         self.on_share_commands(now, commands, out);
     }
 
     pub(crate) fn tick_shares(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
+        if self.has_fleet_form() {
+            return;
+        }
         let mut commands = Vec::new();
         self.shares.tick(now, &mut commands);
         self.on_share_commands(now, commands, out);
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -70,4 +70,9 @@
     Page(Option<CustomerName>),
     /// Everything newer than this version.
     Newer(u64),
+    /// The fleet contract, if it is newer than this version.
+    Fleet {
+        /// The version that the asker has, 0 for none.
+        newer_than: u64,
+    },
 }
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -6,17 +6,18 @@
 use std::time::Duration;
 
 use sycamorelink_contract::{ContractBook, ContractVersion, RouteTable, SnapshotAssembly};
-use sycamorelink_core::{InstanceId, NodeId, RequestId, ServiceName};
+use sycamorelink_core::{InstanceId, NodeId, RequestId, ServiceName, UpstreamId};
 use sycamorelink_guard::{GuardIdentity, GuardNode};
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
     CrashRegistry, CustomerIndex, RetryBudget, ShareMember, ShareNode, SlotGate, WorkId,
 };
-use sycamorelink_policy::ServicePool;
+use sycamorelink_policy::{ServicePool, UpstreamBreaker};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
 
 use crate::command::NodeCommand;
 use crate::event::{NodeEvent, UpstreamAnnouncement};
+use crate::fleet::FleetState;
 use crate::request::{RequestState, WorkState};
 use crate::settings::EngineSettings;
 
@@ -27,8 +28,6 @@
 pub(crate) const LEAVE_NEWS: Duration = Duration::from_secs(2);
 /// How long callers must have been quiet before a leaving node stops.
 pub(crate) const LEAVE_QUIET: Duration = Duration::from_millis(500);
-/// How long a leaving node still takes callers' requests; after it they are refused.
-pub(crate) const LEAVE_SERVING: Duration = Duration::from_secs(5);
 /// Runs of the periodic work, ten a second, in which a leaving node looks for takers of its seats.
 /// Time in which it stood still does not count.
 pub(crate) const HANDOVER_TICKS: u32 = 100;
@@ -47,6 +46,7 @@
 pub(crate) struct LocalUpstream {
     pub(crate) announced: UpstreamAnnouncement,
     pub(crate) gate: SlotGate,
+    pub(crate) breaker: UpstreamBreaker,
     /// When the announcement lapses unless it is renewed.
     pub(crate) lapses: Duration,
     /// When a leaving backend server takes no more work.
@@ -55,6 +55,8 @@
     pub(crate) life: u64,
     /// Whether it may be given work.
     pub(crate) up: bool,
+    /// Names of lives that ended, newest last.
+    pub(crate) ended: Vec<Arc<str>>,
 }
 
 /// What a timer is for.
@@ -89,6 +91,7 @@
     pub(crate) book: ContractBook,
     pub(crate) table: Arc<RouteTable>,
     pub(crate) in_force: BTreeMap<CustomerIndex, ContractVersion>,
+    pub(crate) fleet: FleetState,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
     pub(crate) shares: ShareNode,
@@ -99,6 +102,8 @@
     pub(crate) pool_used: BTreeMap<ServiceName, Duration>,
     pub(crate) budgets: BTreeMap<(CustomerIndex, ServiceName), BudgetPair>,
     pub(crate) upstreams: BTreeMap<u16, LocalUpstream>,
+    /// Upstreams of other nodes that hold work off, and until when they are not asked again.
+    pub(crate) held_off: BTreeMap<UpstreamId, Duration>,
     pub(crate) requests: BTreeMap<RequestId, RequestState>,
     pub(crate) works: BTreeMap<WorkId, WorkState>,
     pub(crate) turns: BTreeMap<u64, WorkId>,
@@ -161,11 +166,13 @@
             book: ContractBook::new(),
             table: Arc::default(),
             in_force: BTreeMap::new(),
+            fleet: FleetState::new(seed),
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
             pool_used: BTreeMap::new(),
             budgets: BTreeMap::new(),
             upstreams: BTreeMap::new(),
+            held_off: BTreeMap::new(),
             requests: BTreeMap::new(),
             works: BTreeMap::new(),
             turns: BTreeMap::new(),
@@ -231,12 +238,17 @@
             NodeEvent::DatagramReceived { from, message } => {
                 self.tell_roster(now, RosterEvent::Datagram { from, message }, out);
             }
+            NodeEvent::SeedsFound(seeds) => {
+                self.tell_roster(now, RosterEvent::Seeds(seeds), out);
+            }
             NodeEvent::PeerUnreachable { node } => {
                 self.tell_roster(now, RosterEvent::Unreachable { node }, out);
             }
             NodeEvent::PeerReconnected { node } => self.on_reconnected(now, node, out),
             NodeEvent::UpstreamAnnounced(announced) => self.on_announced(now, announced, out),
-            NodeEvent::UpstreamWithdrawn { slot } => self.on_withdrawn(now, slot, out),
+            NodeEvent::UpstreamWithdrawn { slot, life } => {
+                self.on_withdrawal(now, slot, life.as_ref(), out);
+            }
             NodeEvent::LogRead {
                 stream,
                 first,
@@ -247,6 +259,7 @@
             }
             NodeEvent::LogCurrent { stream, whole } => self.on_log_current(now, stream, whole, out),
             NodeEvent::LogGap { stream, first } => self.on_log_gap(now, stream, first, out),
+            NodeEvent::FleetContract(contract) => self.adopt_fleet(now, contract, None, out),
             NodeEvent::LogReachable(reachable) => self.on_log_reachable(now, reachable, out),
             NodeEvent::ContractReadBack { offset, bytes } => self.on_read_back(offset, &bytes),
             NodeEvent::DrainRequested => self.on_drain(now, out),
@@ -266,7 +279,7 @@
     #[must_use]
     pub fn next_wake(&self) -> Duration {
         let timer = self.timers.first().map(|(at, ..)| *at);
-        let guard = self.guard.next_wake();
+        let guard = self.guard_wake();
         let roster = (!self.departed).then(|| self.roster.next_wake());
         [timer, guard, roster]
             .into_iter()
@@ -295,7 +308,7 @@
     /// Whether requests can be served: contracts are known, and the node is not leaving.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.draining.is_none() && !self.in_force.is_empty()
+        self.draining.is_none() && self.knows_contracts()
     }
 
     /// Requests and pieces of work in flight.
@@ -320,7 +333,7 @@
         if self.roster.next_wake() <= now {
             self.tell_roster(now, RosterEvent::Tick, out);
         }
-        if self.guard.next_wake().is_some_and(|at| at <= now) {
+        if self.guard_wake().is_some_and(|at| at <= now) {
             self.tell_guard(now, sycamorelink_guard::GuardEvent::Tick, out);
         }
         if now < self.next_tick {
@@ -334,8 +347,12 @@
         self.tick_gates(now, out);
         self.tick_crash(now, out);
         self.lapse_upstreams(now, out);
-        self.keep_contracts(now, out);
-        self.pull_contracts(now, out);
+        if self.has_fleet_form() {
+            self.pull_fleet(now, out);
+        } else {
+            self.keep_contracts(now, out);
+            self.pull_contracts(now, out);
+        }
     }
 
     fn run_timers(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
@@ -379,7 +396,8 @@
         }
         let heard = now >= since + LEAVE_NEWS && now >= self.last_request + LEAVE_QUIET;
         let idle = self.requests.is_empty() && self.works.is_empty();
-        let given = self.handover == HandoverState::SeatsGiven
+        let given = self.has_fleet_form()
+            || self.handover == HandoverState::SeatsGiven
             || self.roster.members().len() < 2
             || self.leaving_ticks >= HANDOVER_TICKS;
         if heard && idle && given {
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -5,7 +5,7 @@
     CustomerName, InstanceId, RequestId, RequestRefusal, ServiceName, SettingFinding, UpstreamId,
 };
 use sycamorelink_guard::GuardNote;
-use sycamorelink_policy::PoolFinding;
+use sycamorelink_policy::{PoolFinding, SampleKind};
 use sycamorelink_roster::{DownCause, RosterNote};
 
 /// One thing worth an event.
@@ -120,6 +120,28 @@
         /// The new version.
         version: ContractVersion,
     },
+    /// The node beside an upstream begins or ends to hold work off it.
+    BreakerTurned {
+        /// The upstream.
+        id: UpstreamId,
+        /// The service.
+        service: ServiceName,
+        /// Whether work is held off from now on.
+        suspect: bool,
+        /// How the run ended that decided it; none when it was time that passed.
+        kind: Option<SampleKind>,
+        /// Odds in nats that the upstream fails part of its requests.
+        odds: f64,
+    },
+    /// A newer fleet contract is in force.
+    FleetContractTaken {
+        /// Its version.
+        version: u64,
+        /// The version that it replaces, 0 for none.
+        before: u64,
+        /// The peer that it came from; none when it came from its source.
+        from: Option<InstanceId>,
+    },
     /// A change in the log has no effect.
     ContractRejected {
         /// Offset of the record.
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -81,7 +81,12 @@
         let leaning = rule
             .map(|rule| leaning_of(rule.leaning))
             .unwrap_or_default();
-        let mut pool = ServicePool::new(PoolSettings::for_leaning(leaning), seed);
+        let settings = if self.has_fleet_form() {
+            self.fleet_pool_settings()
+        } else {
+            PoolSettings::for_leaning(leaning)
+        };
+        let mut pool = ServicePool::new(settings, seed);
         if let Some(rule) = rule {
             pool.set_floor(rule.floor, rule.floor_count);
         }
--- a/crates/engine/src/pulling.rs
+++ b/crates/engine/src/pulling.rs
@@ -70,7 +70,7 @@
     }
 
     /// Another peer at each pull, so that one that cannot answer does not stop the catching up.
-    fn pull_source(&mut self) -> Option<InstanceId> {
+    pub(crate) fn pull_source(&mut self) -> Option<InstanceId> {
         let own = self.own.instance.node;
         let peers: Vec<InstanceId> = self
             .roster
@@ -99,6 +99,9 @@
         let page = match &ask {
             ContractAsk::Page(after) => self.book.page(after.as_ref(), PAGE_BYTES),
             ContractAsk::Newer(version) => self.book.newer(ContractVersion(*version)),
+            ContractAsk::Fleet { newer_than } => {
+                return self.on_fleet_ask(from, *newer_than, out);
+            }
         };
         if let Ok(page) = serde_json::to_vec(&page) {
             self.send_peer(from, PeerMessage::ContractPage { ask, page }, out);
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -72,6 +72,8 @@
     pub share_held: bool,
     /// When a request that waits for a share tries again at the latest.
     pub share_next: Option<Duration>,
+    /// Attempts that were held off because the upstream may be failing.
+    pub held: u16,
     /// Attempts that ended without certainty that no backend server ran them.
     pub uncertain: u16,
     /// The last failed attempt, for the final answer.
@@ -91,6 +93,14 @@
         self.uncertain > 0 || !self.open.is_empty()
     }
 
+    /// Whether as many upstreams may have run it as its route allows.
+    #[must_use]
+    pub fn has_run_everywhere(&self) -> bool {
+        let open = u16::try_from(self.open.len()).unwrap_or(u16::MAX);
+        let runs = self.uncertain.saturating_add(open);
+        self.rule.attempts.is_some_and(|most| runs >= most)
+    }
+
     /// Takes out an attempt that ended.
     pub fn close(&mut self, number: u16) -> Option<OpenAttempt> {
         let place = self
@@ -125,6 +135,8 @@
     pub started: Duration,
     /// Whether it runs on a turn given out by the signature's owner.
     pub on_turn: bool,
+    /// Whether it runs as a trial of a backend server that may be failing.
+    pub on_trial: bool,
 }
 
 impl WorkState {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -9,11 +9,19 @@
 use sycamorelink_limits::{CrashSettings, GateSettings, ShareSettings};
 use sycamorelink_roster::RosterSettings;
 
+use crate::fleet::ContractForm;
+
 /// Settings of one node's decisions. Every value has a default.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineSettings {
+    /// Where the contracts come from.
+    pub contracts: ContractForm,
+    /// How long a leaving node still takes callers' requests; after it they are refused.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "leave_serving_ms")]
+    pub leave_serving: Duration,
     /// Membership.
     pub roster: RosterSettings,
     /// At most once.
@@ -40,6 +48,8 @@
 impl Default for EngineSettings {
     fn default() -> Self {
         Self {
+            contracts: ContractForm::default(),
+            leave_serving: Duration::from_secs(5),
             roster: RosterSettings::default(),
             guard: GuardSettings::default(),
             share: ShareSettings::default(),
--- a/crates/engine/tests/session/scenes.rs
+++ b/crates/engine/tests/session/scenes.rs
@@ -155,7 +155,13 @@
     world.call("a", 1, "POST", "/bookings", Some(KEY));
     world.run_for(REST);
     for name in ["a", "b", "c"] {
-        world.tell(name, NodeEvent::UpstreamWithdrawn { slot: 0 });
+        world.tell(
+            name,
+            NodeEvent::UpstreamWithdrawn {
+                slot: 0,
+                life: None,
+            },
+        );
     }
     world.run_for(REST);
     world.call("b", 2, "POST", "/bookings", Some(KEY));
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -237,6 +237,8 @@
             service: ServiceName::new("orders"),
             slots: 5,
             phase,
+            life: None,
+            warm_up: None,
         };
         self.feed(id, NodeEvent::UpstreamAnnounced(announced));
     }
@@ -305,6 +307,7 @@
             id: RequestId(number),
             token: Arc::from(TOKEN),
             method: Arc::from(method),
+            host: Arc::from(""),
             path: Arc::from(target),
             target: Arc::from(target),
             key: key.map(Arc::from),
@@ -382,7 +385,7 @@
                 self.schedule(Duration::ZERO, Happening::Event(id, Box::new(event)));
             }
             NodeCommand::Dispatch(order) => self.offer(id, order),
-            NodeCommand::RunWork { work } => {
+            NodeCommand::RunWork { work, .. } => {
                 let script = self.script(id);
                 let starts = !self.down.contains(&id) && script.end != WorkEnd::NotStarted;
                 if let Some(running) = self.works.get_mut(&(id, work)) {
--- a/crates/engine/tests/session/world/work.rs
+++ b/crates/engine/tests/session/world/work.rs
@@ -85,6 +85,9 @@
             time_left: order.time_left,
             signature: order.signature ^ self.audit.body_of(order.attempt.request),
             ticket: order.ticket,
+            repeatable: order.repeatable,
+            insist: order.insist,
+            patience: order.patience,
         };
         let delay = if executor == ingress {
             Duration::ZERO
--- a/crates/limits/src/admission/gate.rs
+++ b/crates/limits/src/admission/gate.rs
@@ -56,6 +56,23 @@
         }
     }
 
+    /// Takes over how much longer the backend server stays cold, where it says so: a gate that is
+    /// made for a server long at work opens all slots at once.
+    #[must_use]
+    pub fn warm_up_left(mut self, now: Duration, left: Option<Duration>) -> Self {
+        if let Some(left) = left {
+            self.started_at = now;
+            self.settings.warm_up = self.settings.warm_up.min(left);
+        }
+        self
+    }
+
+    /// Whether new work is refused because the backend server leaves.
+    #[must_use]
+    pub const fn is_closed(&self) -> bool {
+        self.closed
+    }
+
     /// Offers a request. An id that is already here is refused.
     pub fn offer(&mut self, now: Duration, work: WorkId, class: WorkClass) -> GateDecision {
         if self.closed {
@@ -85,6 +102,34 @@
         GateDecision::Queued
     }
 
+    /// The class of work that is of full worth only when it starts within `patience`: it is refused
+    /// rather than kept waiting longer.
+    #[must_use]
+    pub fn start_within(
+        &self,
+        now: Duration,
+        class: WorkClass,
+        patience: Option<Duration>,
+    ) -> WorkClass {
+        let Some(patience) = patience else {
+            return class;
+        };
+        let latest = now + patience + self.estimate.cost(class.expected);
+        WorkClass {
+            deadline: class.deadline.min(latest),
+            ..class
+        }
+    }
+
+    /// Frees the slot of work that ended without telling how long work takes.
+    pub fn released(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
+        if let Some(done) = self.running.remove(&work) {
+            let took = now.saturating_sub(done.since);
+            self.lanes.ended(&done.customer, &done.key, done.cost, took);
+        }
+        self.tick(now, out);
+    }
+
     /// Frees the slot of finished work and starts what waits.
     pub fn finished(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
         if let Some(done) = self.running.remove(&work) {
--- a/crates/limits/src/retry_budget.rs
+++ b/crates/limits/src/retry_budget.rs
@@ -73,6 +73,7 @@
     minimum_per_second: u64,
     part: Duration,
     window: Duration,
+    slack: u64,
     deposits: [u64; WINDOW_PARTS],
     withdrawals: [u64; WINDOW_PARTS],
     newest: u64,
@@ -87,12 +88,19 @@
             minimum_per_second: u64::from(settings.minimum_per_second),
             part: settings.window / u32::try_from(WINDOW_PARTS).unwrap_or(u32::MAX),
             window: settings.window,
+            slack: 0,
             deposits: [0; WINDOW_PARTS],
             withdrawals: [0; WINDOW_PARTS],
             newest: 0,
         }
     }
 
+    /// Sets how many repeats, in thousandths, each window allows besides. For a bound that all
+    /// nodes share and of which each has its part.
+    pub fn set_slack(&mut self, thousandths: u64) {
+        self.slack = thousandths * (TOKEN / 1000);
+    }
+
     /// Counts one first try.
     pub fn deposit(&mut self, now: Duration) {
         let slot = self.advance(now);
@@ -119,7 +127,7 @@
         let minimum = self.minimum_per_second * TOKEN * self.window.as_secs().max(1);
         let deposits: u64 = self.deposits.iter().sum();
         let withdrawals: u64 = self.withdrawals.iter().sum();
-        (minimum + deposits).saturating_sub(withdrawals)
+        (minimum + self.slack + deposits).saturating_sub(withdrawals)
     }
 
     /// Forgets the parts that left the window and gives the slot of the newest part.
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod exit;
 pub mod explain;
 pub mod fleet;
+pub mod reload;
 pub mod serve;
 pub mod settings;
 pub mod settings_check;
--- a/crates/ops/src/serve.rs
+++ b/crates/ops/src/serve.rs
@@ -18,10 +18,14 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::context::ShellContext;
+use crate::exit::ToolFailure;
+use crate::reload::{BorderChoice, SettingsReload};
 use crate::settings_check::read_settings;
 
 /// Time between two looks at the daemon.
-const LOOK_STEP: Duration = Duration::from_millis(50);
+const LOOK_STEP: Duration = Duration::from_millis(250);
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(5);
 
 /// Targets of the HTTP server that tell of its threads only; the numbered events say the same.
 const QUIET_TARGETS: &str = "xitca_server=warn";
@@ -40,8 +44,15 @@
 ///
 /// When the settings have findings, the daemon cannot start, or it had to stop before everything
 /// was finished or handed over.
-pub fn serve_daemon(context: &mut ShellContext, file: &Path) -> anyhow::Result<()> {
+pub fn serve_daemon(
+    context: &mut ShellContext,
+    file: &Path,
+    borders: BorderChoice<'_>,
+) -> anyhow::Result<()> {
     let settings = read_settings(file)?;
+    let chosen = borders(&settings)
+        .map_err(ToolFailure::Findings)
+        .with_context(|| format!("the settings in {} are not valid", file.display()))?;
     log_settings(&settings).install()?;
     let limit = settings.drain.limit;
     let runtime = Builder::new_current_thread()
@@ -51,10 +62,12 @@
     // Signals are taken before the daemon listens: one that comes in between would end the
     // process at once.
     let mut signals = runtime.block_on(async { StopSignals::open() })?;
-    let handle = Daemon::start(settings).context("could not start the daemon")?;
+    let reloading = settings.clone();
+    let handle = Daemon::start_with(settings, chosen).context("could not start the daemon")?;
     emit(EventCode::DaemonStarted, &EventFields::new());
     announce(context, handle.addresses())?;
-    runtime.block_on(wait_for_leave(&handle, &mut signals));
+    let mut reload = SettingsReload::new(file, reloading, borders);
+    runtime.block_on(wait_for_leave(&handle, &mut signals, &mut reload));
     emit(EventCode::DaemonDraining, &EventFields::new());
     handle.drain();
     let drained = runtime.block_on(wait_for_drain(&handle, &mut signals, limit));
@@ -87,9 +100,17 @@
     context.data_line(serde_json::to_string(&line)?)
 }
 
+/// What a signal asks for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum SignalAsk {
+    Leave,
+    Reload,
+}
+
 struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl StopSignals {
@@ -98,26 +119,49 @@
         Ok(Self {
             terminate: open(SignalKind::terminate())?,
             interrupt: open(SignalKind::interrupt())?,
+            hangup: open(SignalKind::hangup())?,
         })
     }
 
-    async fn next(&mut self) {
+    async fn next(&mut self) -> SignalAsk {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => SignalAsk::Leave,
+            _ = self.interrupt.recv() => SignalAsk::Leave,
+            _ = self.hangup.recv() => SignalAsk::Reload,
         }
     }
+
+    /// Waits for a signal to leave; others are passed over.
+    async fn leave(&mut self) {
+        while self.next().await != SignalAsk::Leave {}
+    }
 }
 
-async fn wait_for_leave(handle: &DaemonHandle, signals: &mut StopSignals) {
-    let asked = async {
-        while !handle.drain_wanted() {
-            tokio::time::sleep(LOOK_STEP).await;
+/// Waits for a signal or an operator that ends the daemon; settings are read again meanwhile.
+async fn wait_for_leave(
+    handle: &DaemonHandle,
+    signals: &mut StopSignals,
+    reload: &mut SettingsReload<'_>,
+) {
+    let mut ready = false;
+    let mut look = tokio::time::interval(SETTINGS_LOOK);
+    look.tick().await;
+    loop {
+        tokio::select! {
+            asked = signals.next() => match asked {
+                SignalAsk::Leave => return,
+                SignalAsk::Reload => reload.read(handle, true),
+            },
+            _ = look.tick() => reload.read(handle, false),
+            () = tokio::time::sleep(LOOK_STEP) => {}
+        }
+        if handle.is_ready() && !ready {
+            emit(EventCode::DaemonReady, &EventFields::new());
+        }
+        ready = handle.is_ready();
+        if handle.drain_wanted() {
+            return;
         }
-    };
-    tokio::select! {
-        () = asked => {}
-        () = signals.next() => {}
     }
 }
 
@@ -130,7 +174,7 @@
     };
     tokio::select! {
         () = drained => true,
-        () = signals.next() => false,
+        () = signals.leave() => false,
         () = tokio::time::sleep(limit) => false,
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod settings;
 
 mod baseline;
+mod breaker;
 mod choice;
 mod eject;
 mod exchange;
@@ -37,6 +38,7 @@
 mod score;
 mod weight;
 
+pub use breaker::{BreakerVerdict, UpstreamBreaker};
 pub use evidence::{EvidenceRole, EvidenceScores, UpstreamEvidence};
 pub use facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding};
 pub use finding::{EjectionCause, PoolFinding};
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -7,7 +7,9 @@
 use sycamorelink_core::{RunState, UpstreamId};
 
 /// Most attempts of one request, whatever the budget allows.
-pub const ATTEMPTS_MAX: usize = 4;
+pub const ATTEMPTS_MAX: usize = 8;
+/// Most attempts of one request unless its plan says otherwise.
+pub const ATTEMPTS_USUAL: usize = 4;
 
 /// How one attempt ended, as far as repeating it is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,6 +63,7 @@
     deadline: Duration,
     tried: [Option<UpstreamId>; ATTEMPTS_MAX],
     count: usize,
+    most: usize,
 }
 
 impl RetryPlan {
@@ -72,9 +75,18 @@
             deadline,
             tried: [None; ATTEMPTS_MAX],
             count: 0,
+            most: ATTEMPTS_USUAL,
         }
     }
 
+    /// The same with as many attempts as there can be. For requests whose refusals cost no backend
+    /// server anything.
+    #[must_use]
+    pub const fn patient(mut self) -> Self {
+        self.most = ATTEMPTS_MAX;
+        self
+    }
+
     /// Notes an attempt, so that no later one goes to the same upstream.
     pub fn tried(&mut self, id: UpstreamId) {
         if let Some(place) = self.tried.get_mut(self.count) {
@@ -118,7 +130,7 @@
         if !self.idempotent && outcome.run != RunState::NotRun {
             return RetryDecision::Stop(StopReason::MayHaveRun);
         }
-        if self.count >= ATTEMPTS_MAX {
+        if self.count >= self.most {
             return RetryDecision::Stop(StopReason::Attempts);
         }
         let wait = outcome.retry_after.unwrap_or_default();
@@ -134,7 +146,7 @@
     pub fn hedge_at(&self, now: Duration, delay: Option<Duration>) -> Option<Duration> {
         let at = now + delay?;
         let useful = at + delay? <= self.deadline;
-        (self.idempotent && useful && self.count < ATTEMPTS_MAX).then_some(at)
+        (self.idempotent && useful && self.count < self.most).then_some(at)
     }
 }
 
--- a/crates/telemetry/src/burn/verdict.rs
+++ b/crates/telemetry/src/burn/verdict.rs
@@ -46,6 +46,7 @@
         RefusalCode::UpstreamFailed | RefusalCode::CrashRequest => Some(BurnOutcome::Failed),
         RefusalCode::Overloaded
         | RefusalCode::NoUpstream
+        | RefusalCode::UpstreamSuspect
         | RefusalCode::Draining
         | RefusalCode::NotReady
         | RefusalCode::GuardsUnreachable => Some(BurnOutcome::Refused),
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -111,6 +111,8 @@
     1016 ClockStalled Warn "clock-stalled" "the process was paused for longer than a lease may bear";
     1017 LogStarted Debug "log-started" "logging is set up";
     1018 DaemonSuperseded Error "daemon-superseded" "a newer life of this daemon runs elsewhere and this one stops";
+    1019 SettingsReloaded Info "settings-reloaded" "the settings were read again";
+    1020 SettingsRejected Warn "settings-rejected" "changed settings have findings and those in force stay";
 
     2001 RequestServed Debug "request-served" "a request got its reply";
     2002 RequestRefused Debug "request-refused" "a request was refused";
@@ -142,6 +144,8 @@
     3012 TrialFailed Debug "trial-failed" "a trial request to an ejected upstream failed";
     3013 UpstreamSilent Warn "upstream-silent" "an upstream took requests and answered none";
     3014 HealthContradicted Info "health-contradicted" "the health endpoint and real requests disagree";
+    3015 WorkHeldOff Info "work-held-off" "work that must not repeat is held off a backend server that may be failing";
+    3016 WorkReleased Info "work-released" "a backend server takes all work again";
 
     4001 KeyJoined Info "key-joined" "a resend of a running key waits for the first send";
     4002 KeyReplayed Debug "key-replayed" "a resend got the reply of the first send";
--- a/crates/telemetry/src/event/entries/detect.rs
+++ b/crates/telemetry/src/event/entries/detect.rs
@@ -112,4 +112,21 @@
         act: "Tell the owner of the service: its health endpoint does not tell what callers \
                 meet.",
     },
+    EventEntry {
+        code: EventCode::WorkHeldOff,
+        reserved: false,
+        means: "The backend server beside this daemon lost a connection, garbled a reply or failed \
+                requests close together. Work that must not repeat goes elsewhere; repeatable \
+                work is let through one request at a time as a trial. `reason` names the end \
+                that decided it and the odds in nats.",
+        act: "Nothing for a short while. When one backend server is held off again and again, look \
+                at it.",
+    },
+    EventEntry {
+        code: EventCode::WorkReleased,
+        reserved: false,
+        means: "Trials at the backend server beside this daemon went well, or nothing bad was \
+                seen for some seconds.",
+        act: "Nothing.",
+    },
 ];
--- a/crates/telemetry/src/event/entries/start.rs
+++ b/crates/telemetry/src/event/entries/start.rs
@@ -60,7 +60,7 @@
     },
     EventEntry {
         code: EventCode::DutyFailed,
-        reserved: true,
+        reserved: false,
         means: "One of the daemon's threads ended by a fault. The process stops taking requests, \
                 since it could no longer keep its promises.",
         act: "Report it with the log around it. The instance can be restarted at once; its share \
@@ -140,4 +140,19 @@
         act: "Nothing when the instance was replaced. When both were meant to run, look for \
                 `SL6012`.",
     },
+    EventEntry {
+        code: EventCode::SettingsReloaded,
+        reserved: false,
+        means: "The settings file was read again, on SIGHUP or because it had changed, and has no \
+                findings. `reason` says what became of it: seeds are taken over at once, all \
+                else at the next start.",
+        act: "Restart the daemon when changes wait for it.",
+    },
+    EventEntry {
+        code: EventCode::SettingsRejected,
+        reserved: false,
+        means: "The settings file was read again and has findings, which `reason` names. The \
+                settings in force stay. A faulty file is told once, and again on each SIGHUP.",
+        act: "Mend the file and send SIGHUP; `sycamorelink settings check` names all findings.",
+    },
 ];
--- a/crates/telemetry/src/event/refusals.rs
+++ b/crates/telemetry/src/event/refusals.rs
@@ -151,6 +151,15 @@
             EventCode::RosterSplit,
         ],
     },
+    RefusalEntry {
+        code: RefusalCode::UpstreamSuspect,
+        means: "The backend servers that were asked may be failing part of their requests, and \
+                the nodes beside them held this one off.",
+        runs: &[RunState::NotRun],
+        caller: "Wait for `Retry-After`, then send again.",
+        operator: "Look for what the backend servers of the service have in common.",
+        events: &[EventCode::UpstreamSuspected, EventCode::SharedCause],
+    },
     RefusalEntry {
         code: RefusalCode::Draining,
         means: "The daemon is leaving and takes no new requests.",
--- a/crates/telemetry/tests/wiring.rs
+++ b/crates/telemetry/tests/wiring.rs
@@ -6,8 +6,9 @@
 use sycamorelink_telemetry::{EventEntry, MetricName};
 
 /// Code that raises events or sends metrics, from the root of the repository.
-const RAISERS: [&str; 5] = [
+const RAISERS: [&str; 6] = [
     "crates/daemon/src",
+    "crates/ops/src",
     "src",
     "crates/telemetry/src/burn/watch.rs",
     "crates/telemetry/src/event/throttle.rs",
--- a/src/bin/sycamorelinkd/main.rs
+++ b/src/bin/sycamorelinkd/main.rs
@@ -4,6 +4,9 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use sycamorelink_core::FindingList;
+use sycamorelink_daemon::border::DaemonBorders;
+use sycamorelink_daemon::settings::{DaemonSettings, InterfaceForm};
 use sycamorelink_ops::serve::serve_daemon;
 use sycamorelink_ops::{ExitKind, ShellContext, ToolSettings, exit_kind};
 
@@ -16,10 +19,18 @@
     settings: PathBuf,
 }
 
+/// The borders that the settings ask for.
+fn borders(settings: &DaemonSettings) -> Result<DaemonBorders, FindingList> {
+    match settings.interface {
+        InterfaceForm::Own => Ok(DaemonBorders::own(settings)),
+        InterfaceForm::Platform => sycamorelink_platform::borders(settings),
+    }
+}
+
 fn main() -> ExitCode {
     let args = DaemonArgs::parse();
     let mut context = ShellContext::builder(ToolSettings::default()).build();
-    match serve_daemon(&mut context, &args.settings) {
+    match serve_daemon(&mut context, &args.settings, &borders) {
         Ok(()) => ExitKind::Success.code().into(),
         Err(error) => {
             context.error(&error);
