Same failure domain first while it has a slot

Change: under a fleet contract a pool takes the less loaded of two upstreams of its own failure domain while one has a slot to spare, else any as before. Nothing changes under customers' contracts.

--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -90,6 +90,9 @@
         if let Some(rule) = rule {
             pool.set_floor(rule.floor, rule.floor_count);
         }
+        if self.has_fleet_form() {
+            pool.prefer(self.own.domain.clone());
+        }
         self.pools.insert(service.clone(), pool);
         for (id, facts) in known {
             self.put_upstream(now, id, &facts);
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -18,6 +18,13 @@
 /// Candidates looked at in order when the draws found none.
 const SCAN: usize = 64;
 
+/// Load per slot up to which an upstream in the preferred domain is taken without a look at others:
+/// all of its slots may be in use, and its node refuses what would have to wait for long.
+const NEAR_LOAD: f64 = 1.0;
+
+/// Weight from which an upstream in the preferred domain counts as well.
+const NEAR_WEIGHT: f64 = 0.5;
+
 /// Time constant with which a load hint grows stale.
 const HINT_FADE: f64 = 0.3;
 
@@ -25,6 +32,9 @@
     /// Picks an upstream for an attempt: never one that is leaving, starting or in `exclude`.
     /// `None` when there is no other.
     pub fn pick(&mut self, now: Duration, exclude: &[UpstreamId]) -> Option<UpstreamId> {
+        if let Some(near) = self.pick_near(now, exclude) {
+            return Some(near);
+        }
         let first = self.draw(exclude, None);
         let second = first.and_then(|first| self.draw(exclude, Some(first)));
         let place = match (first, second) {
@@ -35,6 +45,31 @@
         Some(self.records[place].id)
     }
 
+    /// The less loaded of two upstreams in the preferred domain, while it has a slot to spare. Bytes
+    /// between domains have a price, and one within costs less time as well.
+    fn pick_near(&mut self, now: Duration, exclude: &[UpstreamId]) -> Option<UpstreamId> {
+        let near = self.near.as_ref()?;
+        let domain = self.domains.iter().position(|name| name == near)?;
+        let candidates = self.candidates.iter().copied();
+        let usable: Vec<usize> = candidates
+            .filter(|&place| {
+                let record = &self.records[place];
+                record.domain_index == domain
+                    && record.weight >= NEAR_WEIGHT
+                    && !record.probing()
+                    && !exclude.contains(&record.id)
+            })
+            .collect();
+        if usable.is_empty() {
+            return None;
+        }
+        let first = usable[self.random.random_range(0..usable.len())];
+        let second = usable[self.random.random_range(0..usable.len())];
+        let place = self.less_loaded(now, first, second);
+        let record = &self.records[place];
+        (load_of(now, record) < NEAR_LOAD).then_some(record.id)
+    }
+
     fn draw(&mut self, exclude: &[UpstreamId], other: Option<usize>) -> Option<usize> {
         if self.candidates.is_empty() {
             return None;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -33,6 +33,8 @@
     pub(crate) records: Vec<UpstreamRecord>,
     pub(crate) candidates: Vec<usize>,
     pub(crate) domains: Vec<DomainName>,
+    /// Failure domain whose upstreams are taken first; none treats all alike.
+    pub(crate) near: Option<DomainName>,
     pub(crate) baseline: PoolBaseline,
     pub(crate) ledger: FloorLedger,
     /// Score that all upstreams share, taken off before weights are set.
@@ -68,6 +70,7 @@
             records: Vec::new(),
             candidates: Vec::new(),
             domains: Vec::new(),
+            near: None,
             baseline: PoolBaseline::new(),
             ledger: FloorLedger::default(),
             common: 0.0,
@@ -138,6 +141,11 @@
         self.keep_floor(self.ticked);
     }
 
+    /// Prefers the upstreams of one failure domain while they have slots to spare.
+    pub fn prefer(&mut self, domain: DomainName) {
+        self.near = Some(domain);
+    }
+
     /// Takes over changed settings. They must have been validated.
     pub fn apply(&mut self, settings: PoolSettings) {
         self.settings = settings;
