--- a/crates/daemon/src/callers/head.rs
+++ b/crates/daemon/src/callers/head.rs
@@ -38,6 +38,7 @@
     let body_length = declared_body(headers)?;
     Ok(CallerRequest {
         id,
+        label: Arc::from(id.to_string()),
         token: read_token(headers)?,
         method: Arc::from(request.method().as_str()),
         host: Arc::from(""),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,7 +24,7 @@
 use crate::metrics::NodeTelemetry;
 use crate::metrics_thread::start_metrics;
 use crate::operators::{OperatorContext, OperatorGate, OperatorServer};
-use crate::ready::start_ready;
+use crate::ready::{start_metrics_page, start_ready};
 use crate::ring::{RingSender, bounded_ring};
 use crate::settings::DaemonSettings;
 use crate::shell::{DecisionShell, ShellPorts};
@@ -33,6 +33,9 @@
 
 /// Greatest request body that is held so that it can be sent again, in bytes.
 const BODY_BUFFER: usize = 64 << 10;
+/// Longest wait for a connection to a peer. A peer that is lost refuses nothing, and the request that
+/// waits is sent to another only afterwards.
+const PEER_CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Longest wait for the entries of earlier lives before the daemon starts.
 const ENTRY_LIMIT: Duration = Duration::from_millis(500);
 /// Time that the last replies to peers get to be written out.
@@ -57,6 +60,9 @@
     /// Readiness, HTTP.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub ready: Option<SocketAddr>,
+    /// Metrics as text, HTTP.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub metrics: Option<SocketAddr>,
 }
 
 struct DaemonSockets {
@@ -65,6 +71,7 @@
     peers: TcpListener,
     gossip: UdpSocket,
     ready: Option<TcpListener>,
+    metrics: Option<TcpListener>,
 }
 
 impl DaemonSockets {
@@ -81,6 +88,10 @@
                 .ready
                 .map(|address| bind_tcp("readiness", address))
                 .transpose()?,
+            metrics: listen
+                .metrics
+                .map(|address| bind_tcp("metrics", address))
+                .transpose()?,
         })
     }
 
@@ -90,15 +101,16 @@
             operators: self.operators.local_addr()?,
             peers: self.peers.local_addr()?,
             gossip: self.gossip.local_addr()?,
-            ready: self
-                .ready
-                .as_ref()
-                .map(TcpListener::local_addr)
-                .transpose()?,
+            ready: address_of(self.ready.as_ref())?,
+            metrics: address_of(self.metrics.as_ref())?,
         })
     }
 }
 
+fn address_of(listener: Option<&TcpListener>) -> std::io::Result<Option<SocketAddr>> {
+    listener.map(TcpListener::local_addr).transpose()
+}
+
 fn bind_tcp(name: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
     let listener = TcpListener::bind(address)
         .inspect_err(|error| tell_listen_failed(address, error))
@@ -144,7 +156,8 @@
         let sockets = DaemonSockets::bind(&settings)?;
         let addresses = sockets.addresses()?;
         let clock: Arc<dyn NodeClock> = Arc::new(SystemClock::start());
-        let least = known_incarnation(&settings, borders.members.as_deref())?;
+        let earlier = earlier_entries(&settings, borders.members.as_deref())?;
+        let least = known_incarnation(&settings, &earlier);
         let facts = member_facts(&settings, &addresses, clock.as_ref(), least);
         let keys = fleet_keys(&settings);
         let mut engine_settings = engine_settings(&settings)?;
@@ -159,7 +172,7 @@
         let metrics_thread = start_metrics(shared.telemetry.clone(), Arc::clone(&shared.stop))?;
         let work = start_work(&shared, sockets.peers, keys.clone())?;
         let (appends, log_thread) = match contracts {
-            Some(contracts) => start_source(shared.source_parts(contracts, &facts))?,
+            Some(contracts) => start_source(shared.source_parts(contracts, &facts, earlier))?,
             None => start_log(shared.log_parts())?,
         };
         let gossip_thread = start_gossip(
@@ -206,6 +219,11 @@
             Arc::new(shared.operator_context(gate, &addresses)),
             sockets.operators,
         )?;
+        let page = shared.telemetry.page.clone();
+        let metrics = match (sockets.metrics, page) {
+            (Some(listener), Some(page)) => Some(start_metrics_page(listener, page)?),
+            _ => None,
+        };
         let ready = match sockets.ready {
             Some(listener) => Some(start_ready(listener, Arc::clone(&shared.ready))?),
             None => None,
@@ -214,6 +232,7 @@
             addresses,
             shared,
             ready,
+            metrics,
             callers,
             operators,
             work,
@@ -251,7 +270,11 @@
         instance: InstanceId,
         borders: DaemonBorders,
     ) -> Self {
-        let telemetry = NodeTelemetry::new(Arc::clone(&clock), settings.telemetry.metrics);
+        let telemetry = NodeTelemetry::new(
+            Arc::clone(&clock),
+            settings.telemetry.metrics,
+            settings.listen.metrics.is_some(),
+        );
         Self {
             instance,
             clock,
@@ -281,10 +304,16 @@
         }
     }
 
-    fn source_parts(&self, contracts: Box<dyn ContractSource>, facts: &MemberFacts) -> SourceParts {
+    fn source_parts(
+        &self,
+        contracts: Box<dyn ContractSource>,
+        facts: &MemberFacts,
+        earlier: Vec<MemberEntry>,
+    ) -> SourceParts {
         SourceParts {
             contracts,
             members: self.borders.members.clone(),
+            earlier,
             entry: MemberEntry {
                 name: Arc::clone(&facts.name),
                 gossip: facts.gossip_address,
@@ -336,6 +365,7 @@
         identity: PeerIdentity::new(shared.instance, keys),
         wire: WireSettings {
             drain_limit: REPLY_TIME,
+            connect_limit: PEER_CONNECT_LIMIT,
             ..WireSettings::default()
         },
         listener,
@@ -372,18 +402,14 @@
     }
 }
 
-/// The least incarnation that this life may have, where nodes leave their entries.
-///
-/// Failure: the wall clock is set back and the node restarts; peers remember its earlier life with a
-/// greater incarnation and take the new one for old. The entry that the earlier life left tells its
-/// incarnation. A source that does not answer soon is not waited for: the wall clock has to do, and
-/// the roster tells when it did not.
-fn known_incarnation(
+/// The entries that other nodes, and earlier lives of this one, left; none when the fleet starts for
+/// the first time or they cannot be read soon. A daemon does not wait for them: it reads them later.
+fn earlier_entries(
     settings: &DaemonSettings,
     members: Option<&dyn MemberDirectory>,
-) -> anyhow::Result<u64> {
-    let Some(members) = members else {
-        return Ok(0);
+) -> anyhow::Result<Vec<MemberEntry>> {
+    let Some(members) = members.filter(|_| !settings.first_start) else {
+        return Ok(Vec::new());
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -391,21 +417,25 @@
         .context("cannot read the entries of earlier lives")?;
     let listed =
         runtime.block_on(async { tokio::time::timeout(ENTRY_LIMIT, members.list()).await });
-    let entries = match listed {
-        Ok(Ok(entries)) => entries,
-        Ok(Err(error)) => {
-            tracing::warn!(%error, "the entries of earlier lives cannot be read");
-            return Ok(0);
-        }
-        Err(_) => {
-            tracing::warn!("the entries of earlier lives were not read in time");
-            return Ok(0);
-        }
-    };
+    match listed {
+        Ok(Ok(entries)) => return Ok(entries),
+        Ok(Err(error)) => tracing::warn!(%error, "the entries of earlier lives cannot be read"),
+        Err(_) => tracing::warn!("the entries of earlier lives were not read in time"),
+    }
+    Ok(Vec::new())
+}
+
+/// The least incarnation that this life may have.
+///
+/// Failure: the wall clock is set back and the node restarts; peers remember its earlier life with a
+/// greater incarnation and take the new one for old. The entry that the earlier life left tells its
+/// incarnation. Where it could not be read the wall clock has to do, and the roster tells when it
+/// did not.
+fn known_incarnation(settings: &DaemonSettings, entries: &[MemberEntry]) -> u64 {
     let own = entries
         .iter()
         .filter(|entry| entry.name == settings.instance);
-    Ok(own.map(|entry| entry.incarnation + 1).max().unwrap_or(0))
+    own.map(|entry| entry.incarnation + 1).max().unwrap_or(0)
 }
 
 fn fleet_keys(settings: &DaemonSettings) -> FleetKeys {
@@ -452,6 +482,7 @@
     addresses: DaemonAddresses,
     shared: SharedParts,
     ready: Option<HttpPort>,
+    metrics: Option<HttpPort>,
     callers: CallerServer,
     operators: OperatorServer,
     work: WorkThread,
@@ -522,8 +553,8 @@
         thread::sleep(GOODBYE_TIME);
         self.callers.stop(false);
         self.operators.stop();
-        if let Some(ready) = self.ready {
-            ready.stop(false);
+        for port in [self.ready, self.metrics].into_iter().flatten() {
+            port.stop(false);
         }
         let _ = self.shared.drain.send(true);
         self.shared.stop.store(true, Ordering::Relaxed);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -18,8 +18,8 @@
 
 use sycamorelink_core::NodeClock;
 use sycamorelink_telemetry::{
-    EventCode, EventFields, EventThrottle, MetricName, MetricRegistry, MetricSettings, MetricTags,
-    emit,
+    EventCode, EventFields, EventThrottle, MetricName, MetricPage, MetricRegistry, MetricSettings,
+    MetricTags, emit,
 };
 
 /// Time over which events of one code are counted for the throttle.
@@ -80,12 +80,15 @@
     pub registry: Arc<MetricRegistry>,
     /// How metrics are sent.
     pub settings: MetricSettings,
+    /// Metrics as text, where a collector reads them.
+    pub page: Option<MetricPage>,
 }
 
 impl NodeTelemetry {
-    /// Telemetry that sends metrics to this address, or none without one.
+    /// Telemetry that sends metrics to this address, or none without one, and keeps a page of them
+    /// where one is read.
     #[must_use]
-    pub fn new(clock: Arc<dyn NodeClock>, address: Option<SocketAddr>) -> Self {
+    pub fn new(clock: Arc<dyn NodeClock>, address: Option<SocketAddr>, paged: bool) -> Self {
         let settings = MetricSettings {
             address,
             ..MetricSettings::default()
@@ -94,6 +97,7 @@
         Self {
             events: EventPort::counting(clock, &registry),
             registry,
+            page: paged.then(|| MetricPage::new(&settings.prefix)),
             settings,
         }
     }
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -6,6 +6,7 @@
 //!                          └─▶ BurnLedger ─ every half minute ─▶ BurnWatch ─▶ SL8011 to SL8013
 //! ```
 
+mod attempts;
 mod audit;
 mod clock;
 mod findings;
@@ -165,6 +166,9 @@
                 let fields = EventFields::new().customer(customer).service(service);
                 self.emit(EventCode::RetryBudgetExhausted, &fields);
             }
+            NodeNote::AttemptSent { .. }
+            | NodeNote::WorkDecided { .. }
+            | NodeNote::WorkDone { .. } => self.attempt(note),
             NodeNote::HedgeSent {
                 request,
                 service,
--- /dev/null
+++ b/crates/daemon/src/notes/attempts.rs
@@ -0,0 +1,102 @@
+//! What is told of each attempt: where it went and from what view, what the node beside the upstream
+//! decided, and how it ended there.
+
+use sycamorelink_engine::NodeNote;
+use sycamorelink_policy::UpstreamView;
+use sycamorelink_telemetry::{EventCode, EventFields, MetricName};
+
+use super::NoteKeeper;
+use crate::metrics_table::SeriesKey;
+
+impl NoteKeeper {
+    pub(super) fn attempt(&mut self, note: &NodeNote) {
+        match note {
+            NodeNote::AttemptSent {
+                label,
+                number,
+                to,
+                service,
+                prefix,
+                version,
+                left,
+                view,
+            } => {
+                let reason = format!(
+                    "attempt {number}, route {prefix}, {}",
+                    view.as_ref()
+                        .map_or_else(|| "no view".to_owned(), view_text)
+                );
+                let left = format!("{}ms", left.as_millis());
+                let fields = EventFields::new().request(label).service(service);
+                let fields = fields.upstream(to).version(version).limit(&left);
+                self.emit(EventCode::AttemptSent, &fields.reason(&reason));
+            }
+            NodeNote::WorkDecided {
+                label,
+                number,
+                id,
+                service,
+                refused,
+                load,
+                odds,
+                left,
+            } => {
+                let reason = format!(
+                    "attempt {number}, {} of {} slots in use, {} waiting, odds {odds:.1}",
+                    load.in_use, load.slots, load.queued
+                );
+                let left = format!("{}ms", left.as_millis());
+                let fields = EventFields::new().request(label).service(service);
+                let fields = fields.upstream(id).limit(&left).reason(&reason);
+                match refused {
+                    None => self.emit(EventCode::WorkStarted, &fields),
+                    Some(code) => self.emit(EventCode::WorkRefused, &fields.refusal(code)),
+                }
+            }
+            NodeNote::WorkDone {
+                label,
+                number,
+                id,
+                service,
+                end,
+                status,
+                waited,
+                took,
+            } => {
+                let wait = SeriesKey::of(MetricName::QueueWait).service(service);
+                self.meters.record(wait, *waited);
+                let run = SeriesKey::of(MetricName::UpstreamLatency).service(service);
+                self.meters.record(run, *took);
+                let status = status.map_or_else(String::new, |status| format!(" {status}"));
+                let reason = format!(
+                    "attempt {number}, {end:?}{status}, waited {}ms",
+                    waited.as_millis()
+                );
+                let took = format!("{}ms", took.as_millis());
+                let fields = EventFields::new().request(label).service(service);
+                let fields = fields.upstream(id).duration(&took);
+                self.emit(EventCode::WorkEnded, &fields.reason(&reason));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn view_text(view: &UpstreamView) -> String {
+    let told = view.told.map_or_else(
+        || "nothing told".to_owned(),
+        |(load, age)| {
+            format!(
+                "{} of {} slots in use and {} waiting {}ms ago",
+                load.in_use,
+                load.slots,
+                load.queued,
+                age.as_millis()
+            )
+        },
+    );
+    format!(
+        "{} in flight from here, weight {:.2}, suspicion {:.1}, {told}",
+        view.in_flight, view.weight, view.suspicion
+    )
+}
--- a/crates/daemon/src/notes/settle.rs
+++ b/crates/daemon/src/notes/settle.rs
@@ -89,7 +89,14 @@
     }
 
     fn tell(&self, code: EventCode, summary: &RequestSummary) {
-        let mut fields = EventFields::new().request(&summary.request);
+        let attempts = format!("attempts {}", summary.attempts);
+        let took = format!("{}ms", summary.latency.as_millis());
+        let status = summary.status.unwrap_or_default();
+        let mut fields = EventFields::new().request(&summary.label);
+        fields = fields.reason(&attempts).duration(&took);
+        if summary.status.is_some() {
+            fields = fields.count(&status);
+        }
         if let Some(customer) = &summary.customer {
             fields = fields.customer(customer);
         }
--- a/crates/daemon/src/ready.rs
+++ b/crates/daemon/src/ready.rs
@@ -1,10 +1,13 @@
-//! The port on which a load balancer or the callers' side asks whether the daemon takes requests.
+//! Small ports that others look at: whether the daemon takes requests, and its metrics.
 
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Response, StatusCode};
+use sycamorelink_telemetry::MetricPage;
 use xitca_web::body::ResponseBody;
 use xitca_web::http::WebRequest;
 
@@ -28,3 +31,24 @@
     };
     start_server("ready", listener, 1, answer)
 }
+
+/// Media type of the metrics' text.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Serves the metrics as text, whatever the path.
+///
+/// # Errors
+///
+/// When the server's threads cannot be started.
+pub fn start_metrics_page(listener: TcpListener, page: MetricPage) -> anyhow::Result<HttpPort> {
+    let answer = move |_: WebRequest| {
+        let text = page.text();
+        async move {
+            let mut answer = Response::new(ResponseBody::bytes(Bytes::from(text)));
+            let kind = HeaderValue::from_static(METRICS_TYPE);
+            answer.headers_mut().insert(CONTENT_TYPE, kind);
+            answer
+        }
+    };
+    start_server("metrics", listener, 1, answer)
+}
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -48,6 +48,9 @@
     pub listen: ListenAddresses,
     /// Address that peers are told, when it differs from the one listened on.
     pub advertise: Option<IpAddr>,
+    /// Whether the whole fleet starts for the first time, so that no earlier life of this instance
+    /// can have left anything.
+    pub first_start: bool,
     /// Gossip addresses of some other daemons.
     pub seeds: Vec<SocketAddr>,
     /// The platform's log service.
@@ -91,6 +94,7 @@
             service: None,
             listen: ListenAddresses::default(),
             advertise: None,
+            first_start: false,
             seeds: Vec::new(),
             log: PlatformLog::default(),
             fleet_keys: FleetKeyring::default(),
@@ -237,7 +241,7 @@
     pub metrics: Option<SocketAddr>,
 }
 
-/// Form of the log on stderr.
+/// Form of the log, and where it goes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogOutput {
@@ -245,6 +249,19 @@
     pub format: LogFormat,
     /// Least severe level that is written.
     pub level: LogLevel,
+    /// Standard error or standard output.
+    pub output: LogStream,
+}
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogStream {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
 }
 
 /// Form of one log line.
--- a/crates/daemon/src/source_thread.rs
+++ b/crates/daemon/src/source_thread.rs
@@ -6,6 +6,7 @@
 //!  MemberDirectory ◀─ entry ─ source thread ── addresses of others ──▶ decision thread
 //! ```
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -31,6 +32,9 @@
     greatest: Duration::from_secs(2),
     share: 0.2,
 };
+/// Pause before the source is asked again after it gave a contract: a tenth of the time that a
+/// contract may take to be in force everywhere.
+const CONTRACT_PAUSE: Duration = Duration::from_millis(200);
 /// Longest wait for the withdrawal of this node's entry when it leaves.
 const WITHDRAW_LIMIT: Duration = Duration::from_millis(200);
 
@@ -42,6 +46,8 @@
     pub members: Option<Arc<dyn MemberDirectory>>,
     /// This node's own entry.
     pub entry: MemberEntry,
+    /// Entries that were read before the start; none when they still are to be read.
+    pub earlier: Vec<MemberEntry>,
     /// Time.
     pub clock: Arc<dyn NodeClock>,
     /// Where events go.
@@ -69,7 +75,7 @@
     Ok((sender, thread))
 }
 
-fn run_thread(parts: SourceParts, mut orders: mpsc::Receiver<LogOrder>) {
+fn run_thread(mut parts: SourceParts, mut orders: mpsc::Receiver<LogOrder>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
@@ -88,6 +94,7 @@
             let meeting = meet_members(
                 members,
                 parts.entry.clone(),
+                std::mem::take(&mut parts.earlier),
                 Arc::clone(&parts.clock),
                 parts.inbox.clone(),
                 parts.seed,
@@ -141,6 +148,8 @@
     match news {
         SourceNews::Contract(contract) => {
             tell(&parts.inbox, NodeEvent::FleetContract(contract)).await;
+            // Contracts that come in quick succession are read together.
+            tokio::time::sleep(CONTRACT_PAUSE).await;
         }
         SourceNews::Unreadable { reason } => {
             let fields = EventFields::new().reason(&reason);
@@ -151,26 +160,27 @@
     }
 }
 
-/// Leaves this node's entry, then reads those of others. Of two nodes that start together the one
-/// that reads later finds the other, and gossip does the rest.
+/// Leaves this node's entry, then reads those of others unless they were read before. Of two nodes
+/// that start together the one that reads later finds the other, and gossip does the rest.
 async fn meet_members(
     members: Arc<dyn MemberDirectory>,
     entry: MemberEntry,
+    earlier: Vec<MemberEntry>,
     clock: Arc<dyn NodeClock>,
     inbox: RingSender<ShellInput>,
     seed: u64,
 ) {
     let mut backoff = OutageBackoff::new(SOURCE_BACKOFF, seed);
     let mut announced = false;
+    let mut known = seeds_of(&earlier, &entry);
+    if !known.is_empty() {
+        tell(&inbox, NodeEvent::SeedsFound(known.clone())).await;
+    }
     loop {
-        match meet_once(members.as_ref(), &entry, &mut announced).await {
-            Ok(others) => {
-                let seeds = others
-                    .iter()
-                    .filter(|other| other.name != entry.name)
-                    .map(|other| other.gossip)
-                    .collect();
-                tell(&inbox, NodeEvent::SeedsFound(seeds)).await;
+        let met = meet_once(members.as_ref(), &entry, &mut announced, &mut known).await;
+        match met {
+            Ok(()) => {
+                tell(&inbox, NodeEvent::SeedsFound(known)).await;
                 return;
             }
             Err(error) => {
@@ -186,12 +196,22 @@
     members: &dyn MemberDirectory,
     entry: &MemberEntry,
     announced: &mut bool,
-) -> Result<Vec<MemberEntry>, LogError> {
+    known: &mut Vec<SocketAddr>,
+) -> Result<(), LogError> {
     if !*announced {
         members.announce(entry).await?;
         *announced = true;
     }
-    members.list().await
+    if known.is_empty() {
+        *known = seeds_of(&members.list().await?, entry);
+    }
+    Ok(())
+}
+
+/// Gossip addresses of all but the own entry.
+fn seeds_of(entries: &[MemberEntry], own: &MemberEntry) -> Vec<SocketAddr> {
+    let others = entries.iter().filter(|other| other.name != own.name);
+    others.map(|other| other.gossip).collect()
 }
 
 async fn tell(inbox: &RingSender<ShellInput>, event: NodeEvent) {
--- a/crates/daemon/src/work/attempt.rs
+++ b/crates/daemon/src/work/attempt.rs
@@ -1,6 +1,7 @@
 //! The sending side of one attempt.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,12 @@
 use super::{AttemptTask, ReplySink, WorkContext};
 use crate::part::{AttemptFailure, BodyReceiver, ReplyEnd, ReplyHead, ReplyPart};
 
+/// How long ago a peer may have answered to be sent work without being asked first. Connections with
+/// work on them prove a round trip every 250 ms.
+const PROOF_AGE: Duration = Duration::from_millis(300);
+/// Longest wait for a peer's answer before work is sent to another: seventy times the way there and
+/// back.
+const PROOF_WAIT: Duration = Duration::from_millis(200);
 /// What rides along with a work head besides the inner protocol's own fields.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WorkExtras {
@@ -25,8 +32,11 @@
     pub ticket: Option<DispatchTicket>,
     /// Header in which the backend server must repeat the request id.
     pub reply_id_header: Option<String>,
-    /// Whether the work may be run more than once.
-    pub repeatable: bool,
+    /// The caller's own id of the request, else the fleet's.
+    pub label: Arc<str>,
+    /// Whether it may serve as a trial of a backend server that may be failing: it may be run more
+    /// than once, and has not been tried yet.
+    pub trial_fit: bool,
     /// Whether it is to run although the backend server may be failing.
     pub insist: bool,
     /// How long it may wait for a slot; none when only its deadline bounds the wait.
@@ -67,7 +77,8 @@
         time_left: order.time_left,
         signature,
         ticket: order.ticket.clone(),
-        repeatable: order.repeatable,
+        label: Arc::clone(&order.label),
+        trial_fit: order.trial_fit,
         insist: order.insist,
         patience: order.patience,
     }
@@ -77,6 +88,16 @@
     let reply = task.reply.clone();
     let executor = task.order.executor;
     let part = match context.peers.connection(executor, address).await {
+        Ok(connection) if !connection.is_alive(PROOF_AGE, PROOF_WAIT).await => {
+            tracing::debug!(peer = %executor, "an executor does not answer");
+            let node = executor.node;
+            context.tell(NodeEvent::PeerUnreachable { node }).await;
+            context.tell(NodeEvent::PeerQuiet { node }).await;
+            Some(AttemptFailure::of(
+                SampleKind::ConnectionLost,
+                RunState::NotRun,
+            ))
+        }
         Ok(connection) => {
             let head = head_of(&task);
             match connection.work(&head).await {
@@ -120,7 +141,8 @@
     let extras = WorkExtras {
         ticket: order.ticket.clone(),
         reply_id_header: order.reply_id_header.as_deref().map(str::to_owned),
-        repeatable: order.repeatable,
+        label: Arc::clone(&order.label),
+        trial_fit: order.trial_fit,
         insist: order.insist,
         patience: order.patience,
     };
--- a/crates/daemon/src/work/executor.rs
+++ b/crates/daemon/src/work/executor.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use sycamorelink_core::{RefusalCode, RequestRefusal, RunState};
 use sycamorelink_engine::{NodeEvent, WorkEnd, WorkOffer, WorkReport};
+use sycamorelink_limits::admission::WorkId;
 use sycamorelink_policy::{LoadHint, SampleKind};
 use sycamorelink_telemetry::{EventCode, EventFields};
 use tokio::sync::{mpsc, oneshot};
@@ -207,6 +208,7 @@
 
 struct WorkRun {
     context: WorkContext,
+    work: WorkId,
     slot: u16,
     request_id: String,
     keyed: bool,
@@ -233,6 +235,7 @@
         });
         Self {
             context,
+            work: task.offer.work,
             slot: task.offer.slot,
             request_id,
             keyed: task.offer.ticket.is_some(),
@@ -269,6 +272,8 @@
     /// Tells a backend server that ended from a connection that was lost: only the first refuses
     /// new connections. Blaming the server for a lost connection would be a false ejection.
     async fn broken(&self, address: SocketAddr, silent: bool) -> WorkEnd {
+        let work = self.work;
+        tell(&self.context, NodeEvent::WorkBroke { work }).await;
         if silent {
             self.context.backends.discard(self.slot);
         }
--- a/crates/daemon/src/work/serving.rs
+++ b/crates/daemon/src/work/serving.rs
@@ -148,7 +148,8 @@
         time_left: head.time_left,
         signature: head.signature,
         ticket: extras.ticket,
-        repeatable: extras.repeatable,
+        label: extras.label,
+        trial_fit: extras.trial_fit,
         insist: extras.insist,
         patience: extras.patience,
     }
--- a/crates/daemon/src/work/thread.rs
+++ b/crates/daemon/src/work/thread.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use anyhow::Context;
 use sycamorelink_core::InstanceId;
@@ -26,6 +27,11 @@
 use crate::metrics::EventPort;
 use crate::ring::RingSender;
 
+/// Time between two looks at which peers are quiet.
+const QUIET_LOOK: Duration = Duration::from_millis(100);
+/// How long a peer may owe the answer to a heartbeat before it gets no new work: seventy times the
+/// way there and back, and twice the longest stop of a process whose share of a core is used up.
+const QUIET_LIMIT: Duration = Duration::from_millis(200);
 /// Attempts and messages that may wait for the work thread.
 pub const ORDER_DEPTH: usize = 1024;
 
@@ -190,6 +196,7 @@
         );
         let serving = tokio::task::spawn_local(serving);
         tokio::task::spawn_local(send_messages(context.clone(), messages));
+        tokio::task::spawn_local(watch_quiet(context.clone()));
         take_attempts(context, attempts).await;
         let _ = serving.await;
     });
@@ -201,6 +208,16 @@
     }
 }
 
+/// Tells of peers that owe the answer to a heartbeat.
+async fn watch_quiet(context: WorkContext) {
+    loop {
+        tokio::time::sleep(QUIET_LOOK).await;
+        for peer in context.peers.quiet_peers(QUIET_LIMIT) {
+            context.tell(NodeEvent::PeerQuiet { node: peer.node }).await;
+        }
+    }
+}
+
 /// Each message goes on its own, so that a peer that cannot be reached holds up no other.
 async fn send_messages(context: WorkContext, mut messages: mpsc::Receiver<PeerOrder>) {
     while let Some(order) = messages.recv().await {
--- a/crates/daemon/tests/telemetry/node.rs
+++ b/crates/daemon/tests/telemetry/node.rs
@@ -61,6 +61,7 @@
         let settings = LogSettings {
             format: LogFormat::Json,
             level: "off,sycamorelink::event=debug".to_owned(),
+            ..LogSettings::default()
         };
         let subscriber = settings.subscriber(move || writer.clone());
         let subscriber = subscriber.expect("the level is valid");
--- a/crates/engine/src/budgets.rs
+++ b/crates/engine/src/budgets.rs
@@ -4,6 +4,7 @@
 
 use sycamorelink_core::{RefusalCode, RequestId, RunState};
 use sycamorelink_limits::{BudgetSettings, CustomerIndex, RetryBudget};
+use sycamorelink_policy::SampleKind;
 
 use crate::command::NodeCommand;
 use crate::event::AttemptReport;
@@ -32,9 +33,36 @@
         if report.run == RunState::NotRun && (absent || refused) {
             return true;
         }
+        let turned_away = report.run == RunState::NotRun && report.kind == SampleKind::Refused;
+        if self.has_fleet_form() && turned_away {
+            return self.spend_resend(now, id, out);
+        }
         self.spend_retry(now, id, out)
     }
 
+    /// Takes one resend out of the budget. A resend follows a send that no backend server ran, so
+    /// it makes no calls a second time and has a budget apart from that of repeats.
+    fn spend_resend(&mut self, now: Duration, id: RequestId, out: &mut Vec<NodeCommand>) -> bool {
+        let slack = self.fleet_retry_slack();
+        let Some(state) = self.requests.get(&id) else {
+            return false;
+        };
+        let resends = &mut budget_entry(&mut self.budgets, state).resends;
+        resends.set_slack(slack);
+        resends.withdraw(now) || self.note_spent(id, out)
+    }
+
+    /// Tells that a budget is used up; always false.
+    fn note_spent(&self, id: RequestId, out: &mut Vec<NodeCommand>) -> bool {
+        if let Some(state) = self.requests.get(&id) {
+            out.push(NodeCommand::Note(NodeNote::RetryBudgetSpent {
+                customer: state.terms().customer.clone(),
+                service: state.rule.service.clone(),
+            }));
+        }
+        false
+    }
+
     /// Takes one retry out of the budget. A refusal by an executor costs nothing at a backend
     /// server, yet counts: under overload every upstream refuses, and unbounded tries would
     /// multiply the load on the daemons.
@@ -50,15 +78,7 @@
         };
         let retries = &mut budget_entry(&mut self.budgets, state).retries;
         retries.set_slack(slack);
-        if retries.withdraw(now) {
-            return true;
-        }
-        let note = NodeNote::RetryBudgetSpent {
-            customer: state.terms().customer.clone(),
-            service: state.rule.service.clone(),
-        };
-        out.push(NodeCommand::Note(note));
-        false
+        retries.withdraw(now) || self.note_spent(id, out)
     }
 }
 
@@ -82,8 +102,15 @@
             minimum_per_second: 0,
             ..BudgetSettings::default()
         };
+        // Repeats and resends share one bound. Resends get the greater part of it that repeats
+        // leave: half of the bound's share, and as much of what is allowed besides.
+        let resends = BudgetSettings {
+            minimum_per_second: 0,
+            ..retries.clone()
+        };
         BudgetPair {
             retries: RetryBudget::new(&retries),
+            resends: RetryBudget::new(&resends),
             hedges: RetryBudget::new(&hedges),
         }
     })
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -128,6 +128,8 @@
 pub struct AttemptOrder {
     /// The attempt.
     pub attempt: AttemptId,
+    /// The caller's own id of the request, else the fleet's.
+    pub label: Arc<str>,
     /// Where it goes.
     pub upstream: UpstreamId,
     /// The life of the node beside the upstream that is meant.
@@ -152,8 +154,9 @@
     pub max_body: u64,
     /// Bytes of a reply held until it is whole; the daemon may hold fewer.
     pub reply_buffer: usize,
-    /// Whether the work may be run more than once.
-    pub repeatable: bool,
+    /// Whether it may serve as a trial of a backend server that may be failing: it may be run more
+    /// than once, and has not been tried yet.
+    pub trial_fit: bool,
     /// Whether it is to run although the upstream may be failing.
     pub insist: bool,
     /// How long it may wait for a slot; none when only its deadline bounds the wait.
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -1,9 +1,10 @@
 //! From a request that may go on to attempts at upstreams.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_contract::RepeatClass;
-use sycamorelink_core::{AttemptId, RefusalCode, RequestId, RequestRefusal, UpstreamId};
+use sycamorelink_core::{AttemptId, NodeId, RefusalCode, RequestId, RequestRefusal, UpstreamId};
 use sycamorelink_policy::ServicePool;
 
 use crate::budgets::budget_entry;
@@ -11,13 +12,18 @@
 use crate::node::{NodeEngine, TimerPurpose};
 use crate::note::NodeNote;
 use crate::request::{OpenAttempt, RequestState};
-/// Upstreams that may hold a request off before one is made to run it. Failure: most upstreams of a
-/// service fail part of their requests, every node beside one holds work off, and callers get
-/// nothing at all. Each refusal costs some milliseconds; a try that may fail is better than none.
-const HELD_MOST: u16 = 6;
-/// How long an upstream that held work off is not asked again for work that must not repeat. A
-/// trial takes about as long, and a question costs a round trip only.
-const HELD_FOR: Duration = Duration::from_millis(400);
+/// Upstreams that are asked before one that held the request off is made to run it. Failure: some
+/// upstreams fail part of their requests and are left idle, the others are full, and callers are
+/// refused. A try that may fail is better than none; what must not repeat is still refused by the node
+/// beside the upstream, since its caller is better told that it has not run.
+const ASKED_MOST: u16 = 7;
+/// How long an instance that owes an answer gets nothing new; told again while it owes it.
+pub(crate) const QUIET_FOR: Duration = Duration::from_millis(300);
+/// The same for one that the membership suspects: until it is found dead or cleared.
+pub(crate) const SUSPECT_FOR: Duration = Duration::from_secs(2);
+/// How long an upstream that held work off is not asked again. Two trials fit into it, and other
+/// nodes ask meanwhile.
+const HELD_FOR: Duration = Duration::from_millis(800);
 /// Share of the objective within which a run has to begin: work takes a third of it on average.
 const START_SHARE: f64 = 0.6;
 /// When a caller should come back to a service without a usable upstream.
@@ -33,7 +39,7 @@
         let service = self.requests.get(&id)?.rule.service.clone();
         self.ensure_pool(now, &service);
         self.pool_used.insert(service.clone(), now);
-        let held = self.held_upstreams(now, id);
+        let held = self.held_upstreams(now);
         let state = self.requests.get(&id)?;
         let pool = self.pools.get_mut(&service)?;
         let tried = state.plan.exclude();
@@ -45,21 +51,55 @@
         Some((upstream, executor))
     }
 
-    /// Upstreams that held work off a moment ago, for work that must not repeat.
-    fn held_upstreams(&mut self, now: Duration, id: RequestId) -> Vec<UpstreamId> {
+    /// Upstreams that held work off a moment ago.
+    fn held_upstreams(&mut self, now: Duration) -> Vec<UpstreamId> {
         self.held_off.retain(|_, until| *until > now);
-        let state = self.requests.get(&id);
-        if state.is_none_or(|state| state.rule.repeat == RepeatClass::Idempotent) {
-            return Vec::new();
-        }
         self.held_off.keys().copied().collect()
     }
 
+    /// Failure: an instance is lost without a word, and for the second until its connections count
+    /// as silent it is sent more work, of which nobody will know whether it ran. An instance that
+    /// owes an answer gets nothing new for a moment; the connection, and the work on it, is left
+    /// alone, so that a mere pause costs nothing else.
+    pub(crate) fn hold_node_off(&mut self, now: Duration, node: NodeId, hold: Duration) {
+        if !self.has_fleet_form() {
+            return;
+        }
+        let pools = self.pools.values();
+        let behind: Vec<UpstreamId> = pools
+            .flat_map(ServicePool::standings)
+            .map(|standing| standing.id)
+            .filter(|id| id.node == node)
+            .collect();
+        for upstream in behind {
+            self.held_off.insert(upstream, now + hold);
+        }
+    }
+
+    /// The membership found a suspected node alive.
+    pub(crate) fn hold_no_more(&mut self, node: NodeId) {
+        self.held_off.retain(|upstream, _| upstream.node != node);
+    }
+
     /// Notes that an upstream holds work off.
     pub(crate) fn note_held_off(&mut self, now: Duration, upstream: UpstreamId) {
         self.held_off.insert(upstream, now + HELD_FOR);
     }
 
+    /// The upstream that is to run a request although it held it off, once enough were asked.
+    pub(crate) fn insist_on(&self, id: RequestId) -> Option<UpstreamId> {
+        let state = self.requests.get(&id)?;
+        let asked = state.attempts >= ASKED_MOST;
+        asked.then(|| self.last_held(id)).flatten()
+    }
+
+    /// An upstream that held the request off and was not yet made to run it.
+    pub(crate) fn last_held(&self, id: RequestId) -> Option<UpstreamId> {
+        let state = self.requests.get(&id)?;
+        let insisted = state.insisted;
+        state.held.iter().rev().copied().find(|_| !insisted)
+    }
+
     pub(crate) fn refuse_no_upstream(
         &mut self,
         now: Duration,
@@ -104,6 +144,7 @@
         let number = state.attempts;
         state.attempts += 1;
         state.plan.tried(upstream);
+        state.insisted |= state.held.contains(&upstream);
         state.open.push(OpenAttempt {
             number,
             upstream,
@@ -117,6 +158,7 @@
                 request: id,
                 number,
             },
+            label: Arc::clone(&state.caller.label),
             upstream,
             executor,
             address: if upstream.node == own { None } else { address },
@@ -129,10 +171,23 @@
             reply_id_header: state.terms().reply_id_header.clone(),
             max_body: state.rule.max_body,
             reply_buffer: usize::try_from(state.rule.reply_buffer).unwrap_or(usize::MAX),
-            repeatable: state.rule.repeat == RepeatClass::Idempotent,
-            insist: state.held >= HELD_MOST,
+            trial_fit: state.rule.repeat == RepeatClass::Idempotent && state.uncertain == 0,
+            insist: state.held.contains(&upstream),
             patience: patience_of(now, state),
         };
+        out.push(NodeCommand::Note(NodeNote::AttemptSent {
+            label: Arc::clone(&order.label),
+            number,
+            to: upstream,
+            service: order.service.clone(),
+            prefix: Arc::clone(&state.rule.prefix),
+            version: state.rule.terms.version,
+            left: order.time_left,
+            view: self
+                .pools
+                .get(&order.service)
+                .and_then(|pool| pool.view_of(now, upstream)),
+        }));
         out.push(NodeCommand::Dispatch(order));
     }
 
@@ -167,10 +222,11 @@
             return;
         };
         let service = state.rule.service.clone();
+        let label = Arc::clone(&state.caller.label);
         if budget_entry(&mut self.budgets, state).hedges.withdraw(now) {
             self.dispatch(now, id, upstream, out);
             out.push(NodeCommand::Note(NodeNote::HedgeSent {
-                request: id,
+                request: label,
                 service,
                 to: upstream,
             }));
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -3,6 +3,7 @@
 //! Every way out goes through [`NodeEngine::finish`], so that shares, timers and attempts are given
 //! back exactly once.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::{AttemptId, RefusalCode, RequestId, RequestRefusal, RunState, ServiceName};
@@ -38,6 +39,7 @@
     ) {
         let id = report.attempt.request;
         let fleet = self.has_fleet_form();
+        let own = self.own.instance.node;
         let Some(state) = self.requests.get_mut(&id) else {
             if report.status.is_some() {
                 out.push(NodeCommand::Note(NodeNote::ReplyLate { request: id }));
@@ -48,10 +50,11 @@
             return;
         };
         let service = state.rule.service.clone();
+        let label = Arc::clone(&state.caller.label);
         let earlier = state.open.iter().any(|open| open.number < attempt.number);
         if report.kind == SampleKind::Wrong {
             out.push(NodeCommand::Note(NodeNote::ReplyRejected {
-                request: id,
+                request: Arc::clone(&label),
                 service: service.clone(),
                 from: attempt.upstream,
             }));
@@ -60,7 +63,8 @@
             let mut sample = sample_of(report, now.saturating_sub(attempt.sent));
             // Under a fleet contract the breaker beside the upstream answers for failures that its
             // node saw and told; here only what the way between shows counts.
-            sample.excused |= fleet && report.load.is_some() && sample.kind != SampleKind::Served;
+            let told = report.load.is_some() || attempt.upstream.node == own;
+            sample.excused |= fleet && told && sample.kind != SampleKind::Served;
             pool.observe(now, attempt.upstream, &sample);
         }
         if report.run == RunState::Ran && !is_server_error(report) {
@@ -102,7 +106,7 @@
             state.uncertain += 1;
         }
         if report.code == Some(RefusalCode::UpstreamSuspect) {
-            state.held += 1;
+            state.held.push(attempt.upstream);
             self.note_held_off(now, attempt.upstream);
         }
         let Some(state) = self.requests.get_mut(&id) else {
@@ -122,13 +126,14 @@
                 || state.has_run_everywhere(),
             retry_after: None,
         };
+        let label = Arc::clone(&state.caller.label);
         let replayable = state.caller.replayable || report.run == RunState::NotRun;
         let service = state.rule.service.clone();
         let usual = report.service_time.unwrap_or_default();
         match state.plan.decide(now, &outcome, usual) {
             RetryDecision::Retry if replayable && self.may_retry(now, id, report, out) => {
                 out.push(NodeCommand::Note(NodeNote::RetryMade {
-                    request: id,
+                    request: label,
                     service,
                     from: attempt.upstream,
                 }));
@@ -147,8 +152,12 @@
         report: &AttemptReport,
         out: &mut Vec<NodeCommand>,
     ) {
-        match self.choose(now, id) {
-            Some((upstream, _)) => self.dispatch(now, id, upstream, out),
+        let next = self.insist_on(id).or_else(|| {
+            let chosen = self.choose(now, id);
+            chosen.map(|(upstream, _)| upstream)
+        });
+        match next.or_else(|| self.last_held(id)) {
+            Some(upstream) => self.dispatch(now, id, upstream, out),
             None => self.give_answer(now, id, report, out),
         }
     }
@@ -212,10 +221,18 @@
             RunState::NotRun
         };
         let open = std::mem::take(&mut state.open);
+        let label = Arc::clone(&state.caller.label);
         let service = state.rule.service.clone();
         let dispatched = !open.is_empty();
         for attempt in open {
-            self.abandon(now, id, &service, attempt, SampleKind::Silent, out);
+            self.abandon(
+                now,
+                id,
+                (&label, &service),
+                attempt,
+                SampleKind::Silent,
+                out,
+            );
         }
         if dispatched {
             self.settle_guard(now, id, DispatchOutcome::Lost, out);
@@ -233,7 +250,7 @@
         &mut self,
         now: Duration,
         id: RequestId,
-        service: &ServiceName,
+        (label, service): (&Arc<str>, &ServiceName),
         attempt: OpenAttempt,
         kind: SampleKind,
         out: &mut Vec<NodeCommand>,
@@ -242,8 +259,9 @@
             let sample = UpstreamSample::new(kind, now.saturating_sub(attempt.sent));
             pool.observe(now, attempt.upstream, &sample);
         }
+        let label = label.clone();
         out.push(NodeCommand::Note(NodeNote::CancelSent {
-            request: id,
+            request: label,
             service: service.clone(),
             to: attempt.upstream,
         }));
@@ -307,9 +325,17 @@
         if state.share_held {
             self.shares.finished(now, state.customer);
         }
+        let label = Arc::clone(&state.caller.label);
         let service = state.rule.service.clone();
         for attempt in state.open {
-            self.abandon(now, id, &service, attempt, SampleKind::Cancelled, out);
+            self.abandon(
+                now,
+                id,
+                (&label, &service),
+                attempt,
+                SampleKind::Cancelled,
+                out,
+            );
         }
         let (refusal, status) = match end {
             RequestEnd::Replied(status) => (None, Some(status)),
@@ -320,6 +346,7 @@
         };
         out.push(NodeCommand::Note(NodeNote::RequestSettled(
             RequestSummary {
+                label: Arc::clone(&state.caller.label),
                 request: id,
                 customer: Some(state.rule.terms.customer.clone()),
                 service: Some(state.rule.service.clone()),
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -43,6 +43,12 @@
         /// The work.
         work: WorkId,
     },
+    /// The connection broke under work. How it ended follows, once it is known whether the backend
+    /// server lives.
+    WorkBroke {
+        /// The work.
+        work: WorkId,
+    },
     /// The backend server ended the work.
     WorkEnded(WorkReport),
     /// A message from a peer over the inner protocol.
@@ -64,6 +70,11 @@
         /// The peer.
         node: NodeId,
     },
+    /// A peer owes the answer to a heartbeat. Its connection is not given up yet.
+    PeerQuiet {
+        /// The peer.
+        node: NodeId,
+    },
     /// A connection to a peer had gone silent or broken, and a new one was opened.
     PeerReconnected {
         /// The peer.
@@ -145,6 +156,8 @@
 pub struct CallerRequest {
     /// The request.
     pub id: RequestId,
+    /// The caller's own id of the request, else the fleet's; the same in every process's logs.
+    pub label: Arc<str>,
     /// The caller's token, as sent.
     pub token: Arc<str>,
     /// HTTP method.
@@ -197,6 +210,8 @@
     pub from: InstanceId,
     /// The attempt that it carries out.
     pub attempt: AttemptId,
+    /// The caller's own id of the request, else the fleet's.
+    pub label: Arc<str>,
     /// The upstream's number on this node.
     pub slot: u16,
     /// Customer.
@@ -211,8 +226,9 @@
     pub signature: u64,
     /// Proof of the grants, for a request that must not repeat.
     pub ticket: Option<DispatchTicket>,
-    /// Whether the work may be run more than once.
-    pub repeatable: bool,
+    /// Whether it may serve as a trial of a backend server that may be failing: it may be run more
+    /// than once, and has not been tried yet.
+    pub trial_fit: bool,
     /// Whether it is to run although the backend server may be failing: others were asked before
     /// and held it off as well.
     pub insist: bool,
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -5,6 +5,7 @@
 //!              └────────────┴───────────────┴───────────────┴─▶ refused, not run
 //! ```
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::{
@@ -36,8 +37,10 @@
         let state = WorkState {
             deadline: now + offer.time_left,
             phase: WorkPhase::Queued,
+            offered: now,
             started: now,
             on_turn: false,
+            broke: false,
             on_trial: false,
             offer,
         };
@@ -87,14 +90,66 @@
         let Some(upstream) = self.upstreams.get_mut(&state.offer.slot) else {
             return false;
         };
-        if state.offer.insist {
+        if state.offer.insist && state.offer.trial_fit {
             return true;
         }
-        let verdict = upstream.breaker.admit(now, state.offer.repeatable);
+        let verdict = upstream.breaker.admit(now, state.offer.trial_fit);
         state.on_trial = verdict == BreakerVerdict::Trial;
         verdict != BreakerVerdict::Held
     }
 
+    /// Tells what was decided on work, with what decided it.
+    fn note_decided(&self, work: WorkId, refused: Option<RefusalCode>, out: &mut Vec<NodeCommand>) {
+        let Some(state) = self.works.get(&work) else {
+            return;
+        };
+        let slot = state.offer.slot;
+        let upstream = self.upstreams.get(&slot);
+        out.push(NodeCommand::Note(NodeNote::WorkDecided {
+            label: Arc::clone(&state.offer.label),
+            number: state.offer.attempt.number,
+            id: upstream_id(self.own.instance, slot),
+            service: state.offer.service.clone(),
+            refused,
+            load: self.load_of(slot),
+            odds: upstream.map_or(0.0, |upstream| upstream.breaker.odds()),
+            left: state.deadline.saturating_sub(self.now),
+        }));
+    }
+
+    /// Tells how work ended.
+    fn note_done(&self, now: Duration, report: &WorkReport, out: &mut Vec<NodeCommand>) {
+        let Some(state) = self.works.get(&report.work) else {
+            return;
+        };
+        out.push(NodeCommand::Note(NodeNote::WorkDone {
+            label: Arc::clone(&state.offer.label),
+            number: state.offer.attempt.number,
+            id: upstream_id(self.own.instance, state.offer.slot),
+            service: state.offer.service.clone(),
+            end: report.end,
+            status: report.status,
+            waited: state.started.saturating_sub(state.offered),
+            took: now.saturating_sub(state.started),
+        }));
+    }
+
+    /// Failure: it takes some ten milliseconds to tell a backend server that ended from a lost
+    /// connection, and work that must not repeat is handed to a failing server meanwhile. Either way
+    /// the server is suspect, so the breaker hears at once.
+    pub(crate) fn on_work_broke(
+        &mut self,
+        now: Duration,
+        work: WorkId,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let Some(state) = self.works.get_mut(&work) else {
+            return;
+        };
+        state.broke = true;
+        self.tell_breaker(now, work, Some(SampleKind::ConnectionLost), out);
+    }
+
     /// Tells the breaker how work ended; `kind` is none when it ended without a run.
     fn tell_breaker(
         &mut self,
@@ -198,6 +253,7 @@
         }
         let upstream = self.upstreams.get(&slot);
         let life = upstream.and_then(LocalUpstream::life_name);
+        self.note_decided(work, None, out);
         out.push(NodeCommand::RunWork { work, life });
     }
 
@@ -257,6 +313,7 @@
         out: &mut Vec<NodeCommand>,
     ) {
         self.tell_breaker(self.now, work, None, out);
+        self.note_decided(work, Some(refusal.code), out);
         if let Some(state) = self.works.remove(&work) {
             let load = self.load_of(state.offer.slot);
             out.push(NodeCommand::RefuseWork {
@@ -323,7 +380,10 @@
         let slot = state.offer.slot;
         let signature = state.signature();
         let on_turn = state.on_turn;
-        self.tell_breaker(now, work, Some(kind_of(report)), out);
+        self.note_done(now, report, out);
+        let told = self.works.get(&work).is_some_and(|state| state.broke);
+        let kind = (!told).then(|| kind_of(report));
+        self.tell_breaker(now, work, kind, out);
         self.observe_here(now, report);
         match report.end {
             WorkEnd::Crashed => self.on_backend_crash(now, work, slot, out),
--- a/crates/engine/src/guarding.rs
+++ b/crates/engine/src/guarding.rs
@@ -1,5 +1,6 @@
 //! How the at-most-once guard is fed and obeyed.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::{
@@ -228,7 +229,7 @@
         {
             let service = state.rule.service.clone();
             let note = NodeNote::RunUnproven {
-                request: id,
+                request: Arc::clone(&state.caller.label),
                 service,
             };
             out.push(NodeCommand::Note(note));
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -7,6 +7,7 @@
 //!
 //! This module takes a request up to its dispatch; `dispatch`, `ending` and `budgets` go on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_contract::{CustomerIndex as TableIndex, OpaqueKeys, RepeatClass, RouteRule};
@@ -37,6 +38,7 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let id = caller.id;
+        let label = Arc::clone(&caller.label);
         self.last_request = now;
         match self.open_request(now, caller) {
             Ok(state) => {
@@ -52,6 +54,7 @@
             }
             Err(refusal) => {
                 let summary = RequestSummary {
+                    label,
                     request: id,
                     customer: None,
                     service: None,
@@ -112,7 +115,8 @@
             signature,
             share_held: false,
             share_next: None,
-            held: 0,
+            held: Vec::new(),
+            insisted: false,
             uncertain: 0,
             last: None,
             caller,
@@ -246,6 +250,7 @@
         if !fleet || state.rule.repeat == RepeatClass::Idempotent {
             pair.retries.deposit(now);
         }
+        pair.resends.deposit(now);
         pair.hedges.deposit(now);
         if state.key.is_some() {
             self.read_body(id, out);
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -10,10 +10,12 @@
     CrashEvent, CrashMessage, CustomerIndex, ShareCommand, ShareEvent, ShareMember,
 };
 use sycamorelink_roster::{
-    DownCause, MemberFacts, MemberStanding, MemberView, RosterCommand, RosterEvent, topic,
+    DownCause, MemberFacts, MemberStanding, MemberView, RosterCommand, RosterEvent, RosterNote,
+    topic,
 };
 
 use crate::command::NodeCommand;
+use crate::dispatch::SUSPECT_FOR;
 use crate::message::{ContractAsk, PeerMessage};
 use crate::node::NodeEngine;
 use crate::note::NodeNote;
@@ -116,7 +118,16 @@
                 out.push(NodeCommand::Note(NodeNote::Superseded(by)));
                 self.on_superseded(now, out);
             }
-            RosterCommand::Note(note) => out.push(NodeCommand::Note(NodeNote::Roster(note))),
+            RosterCommand::Note(note) => {
+                match &note {
+                    RosterNote::Suspected { instance, .. } => {
+                        self.hold_node_off(now, instance.node, SUSPECT_FOR);
+                    }
+                    RosterNote::Cleared { instance } => self.hold_no_more(instance.node),
+                    _ => {}
+                }
+                out.push(NodeCommand::Note(NodeNote::Roster(note)));
+            }
         }
     }
 
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -16,6 +16,7 @@
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
 
 use crate::command::NodeCommand;
+use crate::dispatch::QUIET_FOR;
 use crate::event::{NodeEvent, UpstreamAnnouncement};
 use crate::fleet::FleetState;
 use crate::request::{RequestState, WorkState};
@@ -38,6 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct BudgetPair {
     pub(crate) retries: RetryBudget,
+    /// Sends after one that the backend server turned away unrun.
+    pub(crate) resends: RetryBudget,
     pub(crate) hedges: RetryBudget,
 }
 
@@ -231,6 +234,7 @@
             NodeEvent::AttemptEnded(report) => self.on_attempt_ended(now, &report, out),
             NodeEvent::WorkOffered(offer) => self.on_work_offered(now, offer, out),
             NodeEvent::WorkCancelled { work } => self.on_work_cancelled(now, work, out),
+            NodeEvent::WorkBroke { work } => self.on_work_broke(now, work, out),
             NodeEvent::WorkEnded(report) => self.on_work_ended(now, &report, out),
             NodeEvent::PeerReceived { from, message } => {
                 self.on_peer_message(now, from, message, out);
@@ -244,6 +248,7 @@
             NodeEvent::PeerUnreachable { node } => {
                 self.tell_roster(now, RosterEvent::Unreachable { node }, out);
             }
+            NodeEvent::PeerQuiet { node } => self.hold_node_off(now, node, QUIET_FOR),
             NodeEvent::PeerReconnected { node } => self.on_reconnected(now, node, out),
             NodeEvent::UpstreamAnnounced(announced) => self.on_announced(now, announced, out),
             NodeEvent::UpstreamWithdrawn { slot, life } => {
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -1,13 +1,19 @@
 //! Things worth a numbered event, as types; the daemon turns them into log lines and metrics.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use sycamorelink_contract::ContractVersion;
 use sycamorelink_core::{
-    CustomerName, InstanceId, RequestId, RequestRefusal, ServiceName, SettingFinding, UpstreamId,
+    CustomerName, InstanceId, RefusalCode, RequestId, RequestRefusal, ServiceName, SettingFinding,
+    UpstreamId,
 };
 use sycamorelink_guard::GuardNote;
-use sycamorelink_policy::{PoolFinding, SampleKind};
+use sycamorelink_policy::{LoadHint, PoolFinding, SampleKind, UpstreamView};
 use sycamorelink_roster::{DownCause, RosterNote};
 
+use crate::event::WorkEnd;
+
 /// One thing worth an event.
 #[derive(Clone, Debug)]
 pub enum NodeNote {
@@ -16,7 +22,7 @@
     /// A request was tried again elsewhere.
     RetryMade {
         /// The request.
-        request: RequestId,
+        request: Arc<str>,
         /// Its service.
         service: ServiceName,
         /// Where the failed attempt was.
@@ -32,7 +38,7 @@
     /// A second attempt was sent before the first one answered.
     HedgeSent {
         /// The request.
-        request: RequestId,
+        request: Arc<str>,
         /// Its service.
         service: ServiceName,
         /// Where the second attempt went.
@@ -48,7 +54,7 @@
     /// An attempt was no longer needed and is stopped.
     CancelSent {
         /// The request.
-        request: RequestId,
+        request: Arc<str>,
         /// Its service.
         service: ServiceName,
         /// Where the attempt is.
@@ -57,7 +63,7 @@
     /// A reply was not whole or not this request's and was dropped.
     ReplyRejected {
         /// The request.
-        request: RequestId,
+        request: Arc<str>,
         /// Its service.
         service: ServiceName,
         /// Where it came from.
@@ -78,7 +84,7 @@
     /// A keyed request reached an upstream and its end is not known.
     RunUnproven {
         /// The request.
-        request: RequestId,
+        request: Arc<str>,
         /// Its service.
         service: ServiceName,
     },
@@ -120,6 +126,63 @@
         /// The new version.
         version: ContractVersion,
     },
+    /// An attempt was sent.
+    AttemptSent {
+        /// The caller's own id of the request, else the fleet's.
+        label: Arc<str>,
+        /// Number of the attempt.
+        number: u16,
+        /// Where it went.
+        to: UpstreamId,
+        /// The service.
+        service: ServiceName,
+        /// Path prefix of the route that chose the service.
+        prefix: Arc<str>,
+        /// Version of the contract that the route is from.
+        version: ContractVersion,
+        /// Time left to the deadline.
+        left: Duration,
+        /// What was known of the upstream when it was picked; none for one never heard of.
+        view: Option<UpstreamView>,
+    },
+    /// The node beside an upstream decided on work that was offered.
+    WorkDecided {
+        /// The caller's own id of the request, else the fleet's.
+        label: Arc<str>,
+        /// Number of the attempt.
+        number: u16,
+        /// The upstream.
+        id: UpstreamId,
+        /// The service that was asked for.
+        service: ServiceName,
+        /// None when it may run or wait for a slot.
+        refused: Option<RefusalCode>,
+        /// Load beside the upstream.
+        load: LoadHint,
+        /// Odds in nats that the upstream fails part of its requests.
+        odds: f64,
+        /// Time left to the deadline.
+        left: Duration,
+    },
+    /// Work ended at an upstream.
+    WorkDone {
+        /// The caller's own id of the request, else the fleet's.
+        label: Arc<str>,
+        /// Number of the attempt.
+        number: u16,
+        /// The upstream.
+        id: UpstreamId,
+        /// The service.
+        service: ServiceName,
+        /// How it ended.
+        end: WorkEnd,
+        /// Status of a whole reply.
+        status: Option<u16>,
+        /// Time that it waited for a slot.
+        waited: Duration,
+        /// Time that the backend server took.
+        took: Duration,
+    },
     /// The node beside an upstream begins or ends to hold work off it.
     BreakerTurned {
         /// The upstream.
@@ -237,6 +300,8 @@
 /// How one request ended.
 #[derive(Clone, Debug)]
 pub struct RequestSummary {
+    /// The caller's own id of the request, else the fleet's.
+    pub label: Arc<str>,
     /// The request.
     pub request: RequestId,
     /// Customer, where known.
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -72,8 +72,10 @@
     pub share_held: bool,
     /// When a request that waits for a share tries again at the latest.
     pub share_next: Option<Duration>,
-    /// Attempts that were held off because the upstream may be failing.
-    pub held: u16,
+    /// Upstreams that held it off because they may be failing.
+    pub held: Vec<UpstreamId>,
+    /// Whether one of them was made to run it.
+    pub insisted: bool,
     /// Attempts that ended without certainty that no backend server ran them.
     pub uncertain: u16,
     /// The last failed attempt, for the final answer.
@@ -131,10 +133,14 @@
     pub deadline: Duration,
     /// Where it stands.
     pub phase: WorkPhase,
+    /// When it was offered.
+    pub offered: Duration,
     /// When it took its slot.
     pub started: Duration,
     /// Whether it runs on a turn given out by the signature's owner.
     pub on_turn: bool,
+    /// Whether the breaker was told that its connection broke.
+    pub broke: bool,
     /// Whether it runs as a trial of a backend server that may be failing.
     pub on_trial: bool,
 }
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -304,6 +304,7 @@
         key: Option<&str>,
     ) {
         let caller = CallerRequest {
+            label: Arc::from(number.to_string()),
             id: RequestId(number),
             token: Arc::from(TOKEN),
             method: Arc::from(method),
--- a/crates/engine/tests/session/world/work.rs
+++ b/crates/engine/tests/session/world/work.rs
@@ -75,6 +75,7 @@
         running.arrives = self.now + delay;
         self.works.insert((executor, work), running);
         let offer = WorkOffer {
+            label: Arc::clone(&order.label),
             work,
             from: self.engines[&ingress].own_instance(),
             attempt: order.attempt,
@@ -85,7 +86,7 @@
             time_left: order.time_left,
             signature: order.signature ^ self.audit.body_of(order.attempt.request),
             ticket: order.ticket,
-            repeatable: order.repeatable,
+            trial_fit: order.trial_fit,
             insist: order.insist,
             patience: order.patience,
         };
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod settings_check;
 pub mod stand_in;
 pub mod table;
+pub mod trace;
 pub mod view;
 
 pub use client::{ApiCall, ApiReply, DaemonClient, Method};
--- a/crates/ops/src/serve.rs
+++ b/crates/ops/src/serve.rs
@@ -11,7 +11,7 @@
 
 use anyhow::{Context, bail};
 use serde::Serialize;
-use sycamorelink_daemon::settings::{DaemonSettings, LogFormat};
+use sycamorelink_daemon::settings::{DaemonSettings, LogFormat, LogLevel, LogStream};
 use sycamorelink_daemon::{Daemon, DaemonAddresses, DaemonHandle};
 use sycamorelink_telemetry::{EventCode, EventFields, LogSettings, emit};
 use tokio::runtime::Builder;
@@ -29,6 +29,8 @@
 
 /// Targets of the HTTP server that tell of its threads only; the numbered events say the same.
 const QUIET_TARGETS: &str = "xitca_server=warn";
+/// Level of the libraries' own lines; the levels of the settings are for the daemon's.
+const LIBRARY_LEVEL: &str = "info";
 
 /// The line on stdout that tells where the daemon listens.
 #[derive(Serialize)]
@@ -53,7 +55,7 @@
     let chosen = borders(&settings)
         .map_err(ToolFailure::Findings)
         .with_context(|| format!("the settings in {} are not valid", file.display()))?;
-    log_settings(&settings).install()?;
+    let log = log_settings(&settings).install()?;
     let limit = settings.drain.limit;
     let runtime = Builder::new_current_thread()
         .enable_all()
@@ -77,6 +79,11 @@
         bail!("the daemon stopped before everything was finished or handed over");
     }
     emit(EventCode::DaemonStopped, &EventFields::new());
+    let dropped = log.dropped_lines();
+    if dropped > 0 {
+        let fields = EventFields::new().count(&dropped);
+        emit(EventCode::EventsSuppressed, &fields);
+    }
     Ok(())
 }
 
@@ -88,10 +95,25 @@
     };
     LogSettings {
         format,
-        level: format!("{},{QUIET_TARGETS}", output.level.as_str()),
+        output: match output.output {
+            LogStream::Stderr => sycamorelink_telemetry::LogOutput::Stderr,
+            LogStream::Stdout => sycamorelink_telemetry::LogOutput::Stdout,
+        },
+        level: log_filter(output.level),
     }
 }
 
+/// The level of the settings for the daemon's own lines; libraries are never more talkative than
+/// usual, and never more than the daemon.
+fn log_filter(level: LogLevel) -> String {
+    let own = level.as_str();
+    let library = match level {
+        LogLevel::Debug | LogLevel::Trace => LIBRARY_LEVEL,
+        LogLevel::Error | LogLevel::Warn | LogLevel::Info => own,
+    };
+    format!("{library},sycamorelink={own},{QUIET_TARGETS}")
+}
+
 fn announce(context: &mut ShellContext, addresses: DaemonAddresses) -> anyhow::Result<()> {
     let line = ListeningLine {
         event: "listening",
--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -38,6 +38,11 @@
 /// stays under a quarter of what a service may repeat when a third of its servers fail.
 const TRIAL_PAUSE: Duration = Duration::from_millis(1500);
 
+/// Longest time between two trials: half the shortest fault that is usual.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2500);
+/// Most doublings of the pause.
+const MOST_DOUBLINGS: u32 = 4;
+
 /// What the node beside a backend server lets through.
 #[derive(Clone, Debug)]
 pub struct UpstreamBreaker {
@@ -45,6 +50,8 @@
     at: Duration,
     trials: u32,
     last_trial: Option<Duration>,
+    /// Trials in a row that went badly.
+    failed_trials: u32,
 }
 
 /// What becomes of work.
@@ -67,19 +74,20 @@
             at: now,
             trials: 0,
             last_trial: None,
+            failed_trials: 0,
         }
     }
 
-    /// Whether work may run now. Work that may be repeated serves as a trial.
-    pub fn admit(&mut self, now: Duration, repeatable: bool) -> BreakerVerdict {
+    /// Whether work may run now, at least as a trial where it is fit for one.
+    pub fn admit(&mut self, now: Duration, trial_fit: bool) -> BreakerVerdict {
         self.age(now);
         if self.odds < SUSPECT_ODDS {
             return BreakerVerdict::Admitted;
         }
         let rested = self
             .last_trial
-            .is_none_or(|last| now.saturating_sub(last) >= TRIAL_PAUSE);
-        if !repeatable || self.trials > 0 || !rested {
+            .is_none_or(|last| now.saturating_sub(last) >= self.trial_pause());
+        if !trial_fit || self.trials > 0 || !rested {
             return BreakerVerdict::Held;
         }
         self.trials += 1;
@@ -102,6 +110,17 @@
         };
         self.age(now);
         self.odds = (self.odds + ratio).clamp(USUAL_ODDS, HIGHEST_ODDS);
+        self.failed_trials = match kind {
+            SampleKind::Served => 0,
+            _ if self.trials > 0 => self.failed_trials + 1,
+            _ => self.failed_trials,
+        };
+    }
+
+    /// The pause doubles with each further trial that goes badly, up to [`LONGEST_PAUSE`].
+    fn trial_pause(&self) -> Duration {
+        let factor = 1_u32 << self.failed_trials.saturating_sub(1).min(MOST_DOUBLINGS);
+        (TRIAL_PAUSE * factor).min(LONGEST_PAUSE)
     }
 
     /// Whether work that must not repeat stays away.
--- a/crates/policy/src/facts.rs
+++ b/crates/policy/src/facts.rs
@@ -17,6 +17,19 @@
     Leaving,
 }
 
+/// What a node knew of an upstream when it picked it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UpstreamView {
+    /// Requests that this node has in flight to it.
+    pub in_flight: u32,
+    /// Share of its usual work that it is given, 0 to 1.
+    pub weight: f64,
+    /// Score in nats that it is failing or slow.
+    pub suspicion: f64,
+    /// Load last told by the node beside it, and how long ago.
+    pub told: Option<(crate::LoadHint, Duration)>,
+}
+
 /// What an upstream announces of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamFacts {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,7 +40,7 @@
 
 pub use breaker::{BreakerVerdict, UpstreamBreaker};
 pub use evidence::{EvidenceRole, EvidenceScores, UpstreamEvidence};
-pub use facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding};
+pub use facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding, UpstreamView};
 pub use finding::{EjectionCause, PoolFinding};
 pub use floor::FloorStatus;
 pub use pool::ServicePool;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -8,7 +8,7 @@
 use sycamorelink_core::{DomainName, UpstreamId};
 
 use crate::baseline::PoolBaseline;
-use crate::facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding};
+use crate::facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding, UpstreamView};
 use crate::floor::{FloorLedger, FloorRule, FloorStatus};
 use crate::record::{EvidenceView, ServiceState, UpstreamRecord, highest};
 use crate::score::ScoreKind;
@@ -187,6 +187,19 @@
         latency.ready().then(|| latency.latency_at(HEDGE_MARK))
     }
 
+    /// What a pick at this moment would be based on.
+    #[must_use]
+    pub fn view_of(&self, now: Duration, id: UpstreamId) -> Option<UpstreamView> {
+        let record = &self.records[*self.index.get(&id)?];
+        let told = record.hint;
+        Some(UpstreamView {
+            in_flight: record.flights.count(),
+            weight: record.weight,
+            suspicion: record.suspicion,
+            told: told.map(|(heard, hint)| (hint, now.saturating_sub(heard))),
+        })
+    }
+
     /// What this node thinks of an upstream.
     #[must_use]
     pub fn standing(&self, id: UpstreamId) -> Option<UpstreamStanding> {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -7,7 +7,7 @@
 use sycamorelink_core::{RunState, UpstreamId};
 
 /// Most attempts of one request, whatever the budget allows.
-pub const ATTEMPTS_MAX: usize = 8;
+pub const ATTEMPTS_MAX: usize = 10;
 /// Most attempts of one request unless its plan says otherwise.
 pub const ATTEMPTS_USUAL: usize = 4;
 
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -129,6 +129,10 @@
     2013 ReplyAborted Warn "reply-aborted" "a reply already under way to a caller was cut and its connection closed";
     2014 CancelSent Debug "cancel-sent" "a try was cancelled at its upstream";
     2015 NoUpstream Error "no-upstream" "a service has no upstream that may be used";
+    2016 AttemptSent Debug "attempt-sent" "a request was sent to an upstream";
+    2017 WorkStarted Debug "work-started" "work was handed to the backend server beside this daemon";
+    2018 WorkRefused Debug "work-refused" "work for the backend server beside this daemon was refused as not run";
+    2019 WorkEnded Debug "work-ended" "work ended at the backend server beside this daemon";
 
     3001 UpstreamSuspected Info "upstream-suspected" "an upstream is doing worse than its peers or its own past";
     3002 WeightShifted Info "weight-shifted" "an upstream gets less work";
--- a/crates/telemetry/src/event/entries/request.rs
+++ b/crates/telemetry/src/event/entries/request.rs
@@ -116,4 +116,34 @@
         act: "Look at `sycamorelink service`. When other daemons reach its upstreams, the cut \
                 is here: look for `SL3008` and `SL6008`.",
     },
+    EventEntry {
+        code: EventCode::AttemptSent,
+        reserved: false,
+        means: "The daemon that took the request chose this upstream. `version` is that of the \
+                contract whose route decided, `limit` the time left, and `reason` what was known \
+                of the upstream and how old that is.",
+        act: "Nothing. `sycamorelink trace` puts these lines of all daemons in order.",
+    },
+    EventEntry {
+        code: EventCode::WorkStarted,
+        reserved: false,
+        means: "A slot was free and the backend server was handed the work. `reason` has the load \
+                and the odds in nats that the server fails part of its requests.",
+        act: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::WorkRefused,
+        reserved: false,
+        means: "The daemon beside the backend server refused the work, for the reason in \
+                `refusal`. The backend server has not seen it; the daemon that took the request \
+                may send it elsewhere.",
+        act: "Nothing for one. Many with `overloaded` mean that capacity is short, many with \
+                `upstream-suspect` that backend servers fail.",
+    },
+    EventEntry {
+        code: EventCode::WorkEnded,
+        reserved: false,
+        means: "The run ended as `reason` says, after `duration` in the backend server.",
+        act: "Nothing.",
+    },
 ];
--- a/crates/telemetry/src/latency.rs
+++ b/crates/telemetry/src/latency.rs
@@ -77,6 +77,15 @@
         self.histogram.reset();
     }
 
+    /// Values in microseconds with how often each was recorded, rising.
+    pub fn buckets(&self) -> impl Iterator<Item = (u32, u32)> {
+        let recorded = self.histogram.iter_recorded();
+        recorded.map(|value| {
+            let micros = u32::try_from(value.value_iterated_to()).unwrap_or(u32::MAX);
+            (micros, value.count_at_value())
+        })
+    }
+
     /// How many were recorded.
     #[must_use]
     pub fn count(&self) -> u64 {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -23,7 +23,8 @@
     render_catalogue,
 };
 pub use latency::{LatencyPercentiles, LatencySummary};
-pub use log::{LogFormat, LogSettings};
+pub use log::{LogFormat, LogGuard, LogOutput, LogSettings};
 pub use metric::{
-    MetricName, MetricRegistry, MetricSettings, MetricSink, MetricTags, open_sink, render_metrics,
+    MetricName, MetricPage, MetricRegistry, MetricSettings, MetricSink, MetricTags, open_sink,
+    render_metrics,
 };
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sycamorelink_core::FindingList;
 use tracing::Subscriber;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::util::{SubscriberInitExt, TryInitError};
@@ -23,12 +24,48 @@
     Json,
 }
 
+/// Lines that may wait to be written: some seconds of a daemon under load, about 2 MB.
+const QUEUED_LINES: usize = 4096;
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogOutput {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+/// Keeps the log's writing thread alive.
+pub struct LogGuard {
+    _guard: WorkerGuard,
+    dropped: ErrorCounter,
+}
+
+impl LogGuard {
+    /// Lines that found the queue full.
+    #[must_use]
+    pub fn dropped_lines(&self) -> usize {
+        self.dropped.dropped_lines()
+    }
+}
+
+impl fmt::Debug for LogGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LogGuard").finish_non_exhaustive()
+    }
+}
+
 /// The `log` part of the settings.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct LogSettings {
     /// Form of a line.
     pub format: LogFormat,
+    /// Where lines go.
+    pub output: LogOutput,
     /// Filter by level and target, such as `info` or `warn,sycamorelink=debug`.
     pub level: String,
 }
@@ -37,6 +74,7 @@
     fn default() -> Self {
         Self {
             format: LogFormat::Text,
+            output: LogOutput::Stderr,
             level: "info".to_owned(),
         }
     }
@@ -66,17 +104,31 @@
         }
     }
 
-    /// Sets up logging for the process, on standard error.
+    /// Sets up logging for the process. Lines are written by a thread of their own as long as the
+    /// guard lives; dropping it writes out what is left.
+    ///
+    /// Failure: whoever reads the log stops reading, the pipe fills up, and every thread that logs
+    /// stands still. Lines that find the queue full are dropped instead; the log tells how many.
     ///
     /// # Errors
     ///
     /// [`LogError`] when the level is no filter or logging is set up already.
-    pub fn install(&self) -> Result<(), LogError> {
-        self.subscriber(io::stderr)?
+    pub fn install(&self) -> Result<LogGuard, LogError> {
+        let writer: Box<dyn io::Write + Send> = match self.output {
+            LogOutput::Stderr => Box::new(io::stderr()),
+            LogOutput::Stdout => Box::new(io::stdout()),
+        };
+        let builder = NonBlockingBuilder::default().buffered_lines_limit(QUEUED_LINES);
+        let (writer, guard) = builder.finish(writer);
+        let dropped = writer.error_counter();
+        self.subscriber(writer)?
             .try_init()
             .map_err(LogError::Twice)?;
         emit(EventCode::LogStarted, &EventFields::new());
-        Ok(())
+        Ok(LogGuard {
+            _guard: guard,
+            dropped,
+        })
     }
 
     /// A subscriber that writes to `writer`, for a scope or a test.
--- a/crates/telemetry/src/metric/mod.rs
+++ b/crates/telemetry/src/metric/mod.rs
@@ -3,6 +3,7 @@
 mod document;
 mod meter;
 mod name;
+mod page;
 mod registry;
 mod series;
 mod settings;
@@ -11,7 +12,8 @@
 pub use document::render_metrics;
 pub use meter::{MetricCounter, MetricGauge, MetricTags, MetricTimer};
 pub use name::{MetricKind, MetricName};
+pub use page::MetricPage;
 pub use registry::{MetricRegistry, OTHER_SERIES};
 pub use series::FlushCount;
 pub use settings::MetricSettings;
-pub use sink::{MetricSample, MetricSink, NoopSink, SinkError, StatsdSink, open_sink};
+pub use sink::{MetricSample, MetricSink, NoopSink, PairSink, SinkError, StatsdSink, open_sink};
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -112,7 +112,7 @@
     ReplyRejected Counter "reply_rejected" "replies" ["service" "cause"]
         "Replies dropped: wrong (not whole, or not of this request) or late.";
     UpstreamLatency Timer "upstream_latency" "microseconds" ["service"]
-        "Time from dispatch to the first byte of the reply.";
+        "Time that a backend server beside this daemon took for a run.";
     UpstreamsInUse Gauge "upstreams_in_use" "upstreams" ["service"]
         "Upstreams of the service that get work from this daemon. Read every half minute, for 64 services.";
     UpstreamsEjected Gauge "upstreams_ejected" "upstreams" ["service"]
@@ -178,9 +178,7 @@
 /// Names that nothing sends yet.
 const RESERVED: &[MetricName] = &[
     MetricName::ProxyOverhead,
-    MetricName::UpstreamLatency,
     MetricName::DetectionTime,
-    MetricName::QueueWait,
     MetricName::ShareTokens,
     MetricName::GrantTime,
     MetricName::PeersConnected,
--- /dev/null
+++ b/crates/telemetry/src/metric/page.rs
@@ -0,0 +1,165 @@
+//! Metrics as a page of text that a collector reads.
+//!
+//! ```text
+//! MetricRegistry --flush, once a second--> PageSink --totals--> MetricPage --text--> collector
+//! ```
+//!
+//! Counters are totals since the start, durations histograms in seconds.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::{Arc, Mutex};
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use super::sink::{MetricSample, MetricSink, SinkError};
+use super::{MetricKind, MetricTags};
+use crate::latency::LatencySummary;
+
+/// Shortest duration with a bucket of its own, in seconds: the way to a peer and back.
+const FIRST_BUCKET: f64 = 0.001;
+/// Buckets, each twice as wide as the one before: up to half a minute.
+const BUCKETS: u16 = 16;
+/// Microseconds in a second.
+const MICROS: f64 = 1e6;
+
+type PageLabels = Vec<(String, String)>;
+type HistogramFamily = Family<PageLabels, Histogram, fn() -> Histogram>;
+
+#[derive(Default)]
+struct PageState {
+    registry: Registry,
+    counters: BTreeMap<String, Family<PageLabels, Counter>>,
+    gauges: BTreeMap<String, Family<PageLabels, Gauge>>,
+    histograms: BTreeMap<String, HistogramFamily>,
+}
+
+/// The page; cloning shares it.
+#[derive(Clone, Default)]
+pub struct MetricPage {
+    state: Arc<Mutex<PageState>>,
+    prefix: Arc<str>,
+}
+
+impl fmt::Debug for MetricPage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MetricPage").finish_non_exhaustive()
+    }
+}
+
+impl MetricPage {
+    /// An empty page whose metrics have this prefix.
+    #[must_use]
+    pub fn new(prefix: &str) -> Self {
+        Self {
+            state: Arc::default(),
+            prefix: Arc::from(prefix),
+        }
+    }
+
+    /// The page as text, as of the last flush.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let encoded = self
+            .state
+            .lock()
+            .map(|state| encode(&mut text, &state.registry));
+        match encoded {
+            Ok(Ok(())) => text,
+            // Writing to a string cannot fail, and a poisoned lock means that a thread panicked.
+            Ok(Err(_)) | Err(_) => "# the metrics cannot be read\n".to_owned(),
+        }
+    }
+
+    fn name(&self, name: &str) -> String {
+        let plain = name.replace(['.', '-'], "_");
+        format!(
+            "{}_{plain}",
+            self.prefix.trim_end_matches('.').replace('.', "_")
+        )
+    }
+}
+
+fn labels_of(tags: &MetricTags) -> PageLabels {
+    tags.iter()
+        .map(|(tag, value)| (tag.to_owned(), value.to_owned()))
+        .collect()
+}
+
+fn new_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
+}
+
+impl PageState {
+    fn counter(&mut self, name: String) -> Family<PageLabels, Counter> {
+        let registry = &mut self.registry;
+        let made = self.counters.entry(name).or_insert_with_key(|name| {
+            let family = Family::default();
+            registry.register(name, "see docs/metrics.md", family.clone());
+            family
+        });
+        made.clone()
+    }
+
+    fn gauge(&mut self, name: String) -> Family<PageLabels, Gauge> {
+        let registry = &mut self.registry;
+        let made = self.gauges.entry(name).or_insert_with_key(|name| {
+            let family = Family::default();
+            registry.register(name, "see docs/metrics.md", family.clone());
+            family
+        });
+        made.clone()
+    }
+
+    fn histogram(&mut self, name: String) -> HistogramFamily {
+        let registry = &mut self.registry;
+        let made = self.histograms.entry(name).or_insert_with_key(|name| {
+            let family = Family::new_with_constructor(new_histogram as fn() -> Histogram);
+            registry.register(name, "see docs/metrics.md", family.clone());
+            family
+        });
+        made.clone()
+    }
+}
+
+impl MetricSink for MetricPage {
+    fn send(&self, sample: &MetricSample<'_>) -> Result<(), SinkError> {
+        let Ok(mut state) = self.state.lock() else {
+            return Err(SinkError::Page);
+        };
+        let (name, labels) = (self.name(sample.name), labels_of(sample.tags));
+        match sample.kind {
+            MetricKind::Counter => {
+                state
+                    .counter(name)
+                    .get_or_create(&labels)
+                    .inc_by(sample.value);
+            }
+            MetricKind::Gauge | MetricKind::Timer => {
+                let value = i64::try_from(sample.value).unwrap_or(i64::MAX);
+                state.gauge(name).get_or_create(&labels).set(value);
+            }
+        }
+        Ok(())
+    }
+
+    fn send_durations(&self, name: &str, tags: &MetricTags, summary: &LatencySummary) -> bool {
+        let Ok(mut state) = self.state.lock() else {
+            return false;
+        };
+        let family = state.histogram(format!("{}_seconds", self.name(name)));
+        let histogram = family.get_or_create(&labels_of(tags));
+        for (micros, count) in summary.buckets() {
+            for _ in 0..count {
+                histogram.observe(f64::from(micros) / MICROS);
+            }
+        }
+        true
+    }
+}
--- a/crates/telemetry/src/metric/series.rs
+++ b/crates/telemetry/src/metric/series.rs
@@ -96,7 +96,9 @@
                 }
             }
             SeriesMeter::Timer(timer) => {
-                if let Some(summary) = timer.take() {
+                if let Some(summary) = timer.take()
+                    && !flush.sink.send_durations(name.as_str(), tags, &summary)
+                {
                     flush.send_timer(name, tags, summary.percentiles());
                 }
             }
--- a/crates/telemetry/src/metric/sink.rs
+++ b/crates/telemetry/src/metric/sink.rs
@@ -9,6 +9,7 @@
 use cadence::{BufferedUdpMetricSink, MetricError, StatsdClient};
 
 use super::{MetricKind, MetricSettings, MetricTags};
+use crate::latency::LatencySummary;
 
 /// One value of one metric at a flush.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +33,12 @@
     /// [`SinkError`] when the sample is lost.
     fn send(&self, sample: &MetricSample<'_>) -> Result<(), SinkError>;
 
+    /// Takes the durations of a timer since the last flush. False leaves them to [`Self::send`], as
+    /// a count and percentiles.
+    fn send_durations(&self, _name: &str, _tags: &MetricTags, _summary: &LatencySummary) -> bool {
+        false
+    }
+
     /// Sends what is buffered.
     fn flush(&self) {}
 
@@ -53,6 +60,9 @@
         #[source]
         source: std::io::Error,
     },
+    /// The page's state is lost.
+    #[error("the page of metrics cannot be written")]
+    Page,
     /// The client refused.
     #[error("metrics are not sent: {0}")]
     Client(#[from] MetricError),
@@ -141,6 +151,47 @@
     Ok(socket)
 }
 
+/// Gives every sample to two sinks.
+#[derive(Debug)]
+pub struct PairSink {
+    first: Box<dyn MetricSink>,
+    second: Box<dyn MetricSink>,
+}
+
+impl PairSink {
+    /// A sink before two others.
+    #[must_use]
+    pub fn new(first: Box<dyn MetricSink>, second: Box<dyn MetricSink>) -> Self {
+        Self { first, second }
+    }
+}
+
+impl MetricSink for PairSink {
+    fn send(&self, sample: &MetricSample<'_>) -> Result<(), SinkError> {
+        // The second takes it whatever became of the first: a count that is sent again after an
+        // error would be counted twice there.
+        let sent = self.first.send(sample);
+        self.second.send(sample)?;
+        sent
+    }
+
+    fn send_durations(&self, name: &str, tags: &MetricTags, summary: &LatencySummary) -> bool {
+        self.first.send_durations(name, tags, summary);
+        self.second.send_durations(name, tags, summary);
+        // A sink without histograms gets percentiles; they do the other no harm.
+        false
+    }
+
+    fn flush(&self) {
+        self.first.flush();
+        self.second.flush();
+    }
+
+    fn lost(&self) -> u64 {
+        self.first.lost() + self.second.lost()
+    }
+}
+
 /// The sink that the settings ask for.
 ///
 /// # Errors
--- a/crates/telemetry/tests/events.rs
+++ b/crates/telemetry/tests/events.rs
@@ -62,6 +62,7 @@
     LogSettings {
         format: LogFormat::Json,
         level: level.to_owned(),
+        ..LogSettings::default()
     }
 }
 
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -125,12 +125,36 @@
         self.state.open_count()
     }
 
+    /// How long the peer has owed the answer to a heartbeat; none while it owes nothing.
+    #[must_use]
+    pub fn quiet_for(&self) -> Option<Duration> {
+        self.state.quiet_for()
+    }
+
     /// How long nothing was sent on it; nothing while work is open.
     #[must_use]
     pub fn idle_for(&self) -> Option<Duration> {
         self.state.idle_for()
     }
 
+    /// Whether the peer answered a round trip no longer ago than `age`, or does so within `wait`.
+    ///
+    /// Failure: a peer is lost without a word, and a request is sent into a connection that was
+    /// idle since; nobody can say afterwards whether it ran. Asked first, a peer that does not
+    /// answer has certainly not got it. Open work makes the heartbeat go out at once, so a peer in
+    /// health costs a round trip, and only after a pause.
+    pub async fn is_alive(&self, age: Duration, wait: Duration) -> bool {
+        if self.state.proved_for() <= age {
+            return true;
+        }
+        // With all streams taken, sending the work fails as not sent anyway.
+        let Some(_open) = self.state.open_work(self.settings.streams) else {
+            return true;
+        };
+        let proof = self.state.proved_within(age);
+        tokio::time::timeout(wait, proof).await.is_ok()
+    }
+
     /// Sends the head of a request. The body and the reply then go their own ways; dropping both
     /// cancels the request at the peer.
     ///
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::error::WireError;
@@ -30,6 +30,10 @@
     open: watch::Sender<usize>,
     proved: Mutex<Instant>,
     used: Mutex<Instant>,
+    /// When the heartbeat was sent that is still unanswered.
+    asked: Mutex<Option<Instant>>,
+    /// Told of each proof of a round trip.
+    proofs: Notify,
 }
 
 impl ConnectionState {
@@ -40,6 +44,8 @@
                 open: watch::Sender::new(0),
                 proved: Mutex::new(Instant::now()),
                 used: Mutex::new(Instant::now()),
+                asked: Mutex::new(None),
+                proofs: Notify::new(),
             }),
         }
     }
@@ -112,6 +118,31 @@
     pub(crate) fn prove_round_trip(&self, sent: Instant) {
         let mut proved = locked(&self.shared.proved);
         *proved = sent.max(*proved);
+        drop(proved);
+        self.shared.proofs.notify_waiters();
+    }
+
+    /// Waits until a round trip was proved that began no longer ago than `age`.
+    pub(crate) async fn proved_within(&self, age: Duration) {
+        loop {
+            let proof = self.shared.proofs.notified();
+            if self.proved_for() <= age {
+                return;
+            }
+            proof.await;
+        }
+    }
+
+    /// Notes that a heartbeat waits for its answer, or no longer does.
+    pub(crate) fn note_asked(&self, asked: Option<Instant>) {
+        *locked(&self.shared.asked) = asked;
+    }
+
+    /// How long the peer has owed an answer; none while it owes nothing.
+    pub(crate) fn quiet_for(&self) -> Option<Duration> {
+        let asked = (*locked(&self.shared.asked))?;
+        let answered = *locked(&self.shared.proved) > asked;
+        (!answered).then(|| asked.elapsed())
     }
 
     pub(crate) fn proved_for(&self) -> Duration {
@@ -119,7 +150,7 @@
     }
 }
 
-fn locked(time: &Mutex<Instant>) -> MutexGuard<'_, Instant> {
+fn locked<T>(time: &Mutex<T>) -> MutexGuard<'_, T> {
     time.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -42,8 +42,12 @@
             continue;
         }
         let sent = Instant::now();
+        state.note_asked(Some(sent));
         match await_pong(&mut pings, settings.silence_limit).await {
-            PongResult::Answered => state.prove_round_trip(sent),
+            PongResult::Answered => {
+                state.note_asked(None);
+                state.prove_round_trip(sent);
+            }
             PongResult::Ended => return std::future::pending().await,
             PongResult::Silent => return,
         }
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde::Serialize;
 use sycamorelink_core::InstanceId;
@@ -136,6 +137,26 @@
         }
     }
 
+    /// Peers that have owed the answer to a heartbeat for longer than the limit. Their connections
+    /// are not given up yet.
+    #[must_use]
+    pub fn quiet_peers(&self, limit: Duration) -> Vec<InstanceId> {
+        let entries = self.shared.entries.borrow();
+        let quiet = entries.iter().filter(|(_, entry)| {
+            let Ok(link) = entry.link.try_lock() else {
+                return false;
+            };
+            match &*link {
+                PeerLink::Open(open) if !open.connection.is_closed() => {
+                    let owed = open.connection.quiet_for();
+                    owed.is_some_and(|owed| owed > limit)
+                }
+                _ => false,
+            }
+        });
+        quiet.map(|(peer, _)| *peer).collect()
+    }
+
     /// Connections that are open now.
     #[must_use]
     pub fn open_count(&self) -> usize {
@@ -193,7 +214,7 @@
     }
 
     /// Open connections that nobody is busy with, each with the time it has been idle.
-    fn open_entries(&self) -> Vec<(Option<std::time::Duration>, Rc<PeerEntry<M>>)> {
+    fn open_entries(&self) -> Vec<(Option<Duration>, Rc<PeerEntry<M>>)> {
         let entries = self.shared.entries.borrow();
         let open = entries.values().filter_map(|entry| {
             let link = entry.link.try_lock().ok()?;
--- a/src/bin/sycamorelink/commands/mod.rs
+++ b/src/bin/sycamorelink/commands/mod.rs
@@ -12,6 +12,7 @@
 mod service;
 mod settings;
 mod stand_in;
+mod trace;
 
 use clap::Subcommand;
 use sycamorelink_ops::ShellContext;
@@ -35,6 +36,8 @@
     Dev(dev::DevArgs),
     /// Report service-level burn
     Burn(burn::BurnArgs),
+    /// Show what all daemons did about one request, from their logs
+    Trace(trace::TraceArgs),
     /// Explain a numbered event or a refusal
     Explain(explain::ExplainArgs),
     /// Measure the decision logic without a network
@@ -56,6 +59,7 @@
         TopCommand::Drain(args) => drain::exec(context, &args),
         TopCommand::Dev(args) => dev::exec(context, &args),
         TopCommand::Burn(args) => burn::exec(context, &args),
+        TopCommand::Trace(args) => trace::exec(context, &args),
         TopCommand::Explain(args) => explain::exec(context, &args),
         TopCommand::Lab(args) => lab::exec(context, &args),
         TopCommand::Completions(args) => completions::exec(context, &args),
