--- a/crates/daemon/src/border/backend.rs
+++ b/crates/daemon/src/border/backend.rs
@@ -79,13 +79,23 @@
     ) -> ReplyVerdict;
 }
 
-/// Adds the headers that were handed on; none when one of them is malformed.
-pub fn append_headers(headers: &mut HeaderMap, handed: Vec<(String, Vec<u8>)>) -> Option<()> {
-    for (name, value) in handed {
-        let name = HeaderName::try_from(name).ok()?;
-        headers.append(name, HeaderValue::from_bytes(&value).ok()?);
+/// A request's head with the headers that were handed on, and the time left in milliseconds in the
+/// header named; none when a part of it is malformed.
+#[must_use]
+pub fn begin_request(ask: &BackendAsk, time_header: HeaderName) -> Option<Request<()>> {
+    let mut head = Request::builder()
+        .method(ask.method.clone())
+        .uri(ask.target.as_str())
+        .body(())
+        .ok()?;
+    let headers = head.headers_mut();
+    for (name, value) in &ask.headers {
+        let name = HeaderName::try_from(name.as_str()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
     }
-    Some(())
+    let millis = u64::try_from(ask.time_left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(time_header, HeaderValue::from(millis));
+    Some(head)
 }
 
 /// Whether the end of a reply's body can be told.
@@ -106,20 +116,10 @@
 
 impl BackendBorder for OwnBackendBorder {
     fn request(&self, ask: BackendAsk) -> Option<BackendRequest> {
-        let mut head = Request::builder()
-            .method(ask.method.clone())
-            .uri(ask.target)
-            .body(())
-            .ok()?;
+        let mut head = begin_request(&ask, HeaderName::from_static(TIMEOUT_HEADER))?;
         let headers = head.headers_mut();
-        append_headers(headers, ask.headers)?;
         let id = HeaderValue::try_from(ask.request_id).ok()?;
         headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), id.clone());
-        let millis = u64::try_from(ask.time_left.as_millis()).unwrap_or(u64::MAX);
-        headers.insert(
-            HeaderName::from_static(TIMEOUT_HEADER),
-            HeaderValue::from(millis),
-        );
         if let Some(length) = ask.body_length {
             headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
         }
--- a/crates/daemon/src/border/mod.rs
+++ b/crates/daemon/src/border/mod.rs
@@ -23,7 +23,7 @@
 pub use announcement::{AnnouncementAnswer, AnnouncementBorder, AnnouncementCall};
 pub use backend::{
     BackendAsk, BackendBorder, BackendRequest, OwnBackendBorder, ReplyExpectation, ReplyVerdict,
-    append_headers,
+    begin_request,
 };
 pub use caller::{CallerBorder, OwnCallerBorder};
 pub use source::{BorderFuture, ContractSource, MemberDirectory, MemberEntry, SourceNews};
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,21 +1,19 @@
 //! One running daemon: its threads, started in order and stopped in the reverse.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use anyhow::Context;
-use serde::Serialize;
-use sycamorelink_core::{InstanceId, NodeClock, NodeId, NodeIncarnation, SystemClock};
-use sycamorelink_engine::{ContractForm, EngineSettings, NodeEngine, NodeEvent};
+use sycamorelink_core::{InstanceId, NodeClock, SystemClock};
+use sycamorelink_engine::{ContractForm, NodeEngine, NodeEvent};
 use sycamorelink_roster::MemberFacts;
-use sycamorelink_telemetry::{EventCode, EventFields, emit};
-use sycamorelink_wire::{FleetKey, FleetKeys, PeerIdentity, WireSettings};
+use sycamorelink_wire::{FleetKeys, PeerIdentity, WireSettings};
 use tokio::sync::watch;
 
-use crate::border::{ContractSource, DaemonBorders, MemberDirectory, MemberEntry};
+use crate::border::{ContractSource, DaemonBorders, MemberEntry};
 use crate::callers::{CallerContext, CallerServer, CallerSockets};
 use crate::gossip::start_gossip;
 use crate::http_server::HttpPort;
@@ -28,7 +26,11 @@
 use crate::ring::{RingSender, bounded_ring};
 use crate::settings::DaemonSettings;
 use crate::shell::{DecisionShell, ShellPorts};
+use crate::sockets::{DaemonAddresses, DaemonSockets};
 use crate::source_thread::{SourceParts, start_source};
+use crate::starting::{
+    earlier_entries, engine_settings, fleet_keys, known_incarnation, member_facts,
+};
 use crate::work::{BackendDirectory, LoadBoard, WorkParts, WorkThread};
 
 /// Greatest request body that is held so that it can be sent again, in bytes.
@@ -36,8 +38,6 @@
 /// Longest wait for a connection to a peer. A peer that is lost refuses nothing, and the request that
 /// waits is sent to another only afterwards.
 const PEER_CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Longest wait for the entries of earlier lives before the daemon starts.
-const ENTRY_LIMIT: Duration = Duration::from_millis(500);
 /// Time that the last replies to peers get to be written out.
 const REPLY_TIME: Duration = Duration::from_secs(5);
 /// Time between two looks at whether a drain is done.
@@ -46,84 +46,6 @@
 /// stop waits for idle connections as well, for half a minute.
 const GOODBYE_TIME: Duration = Duration::from_millis(100);
 
-/// Where a daemon listens.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct DaemonAddresses {
-    /// Callers, HTTP.
-    pub callers: SocketAddr,
-    /// Operators, HTTP.
-    pub operators: SocketAddr,
-    /// Inner protocol, TCP.
-    pub peers: SocketAddr,
-    /// Gossip, UDP.
-    pub gossip: SocketAddr,
-    /// Readiness, HTTP.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub ready: Option<SocketAddr>,
-    /// Metrics as text, HTTP.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub metrics: Option<SocketAddr>,
-}
-
-struct DaemonSockets {
-    callers: TcpListener,
-    operators: TcpListener,
-    peers: TcpListener,
-    gossip: UdpSocket,
-    ready: Option<TcpListener>,
-    metrics: Option<TcpListener>,
-}
-
-impl DaemonSockets {
-    fn bind(settings: &DaemonSettings) -> anyhow::Result<Self> {
-        let listen = &settings.listen;
-        Ok(Self {
-            callers: bind_tcp("callers", listen.callers)?,
-            operators: bind_tcp("operators", listen.operators)?,
-            peers: bind_tcp("peers", listen.peers)?,
-            gossip: UdpSocket::bind(listen.gossip)
-                .inspect_err(|error| tell_listen_failed(listen.gossip, error))
-                .with_context(|| format!("cannot listen for gossip on {}", listen.gossip))?,
-            ready: listen
-                .ready
-                .map(|address| bind_tcp("readiness", address))
-                .transpose()?,
-            metrics: listen
-                .metrics
-                .map(|address| bind_tcp("metrics", address))
-                .transpose()?,
-        })
-    }
-
-    fn addresses(&self) -> anyhow::Result<DaemonAddresses> {
-        Ok(DaemonAddresses {
-            callers: self.callers.local_addr()?,
-            operators: self.operators.local_addr()?,
-            peers: self.peers.local_addr()?,
-            gossip: self.gossip.local_addr()?,
-            ready: address_of(self.ready.as_ref())?,
-            metrics: address_of(self.metrics.as_ref())?,
-        })
-    }
-}
-
-fn address_of(listener: Option<&TcpListener>) -> std::io::Result<Option<SocketAddr>> {
-    listener.map(TcpListener::local_addr).transpose()
-}
-
-fn bind_tcp(name: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let listener = TcpListener::bind(address)
-        .inspect_err(|error| tell_listen_failed(address, error))
-        .with_context(|| format!("cannot listen for {name} on {address}"))?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
-
-fn tell_listen_failed(address: SocketAddr, error: &std::io::Error) {
-    let fields = EventFields::new().address(&address).reason(error);
-    emit(EventCode::ListenFailed, &fields);
-}
-
 /// A daemon that is being started.
 #[derive(Debug)]
 pub struct Daemon;
@@ -378,105 +300,6 @@
     })
 }
 
-fn member_facts(
-    settings: &DaemonSettings,
-    addresses: &DaemonAddresses,
-    clock: &dyn NodeClock,
-    least: u64,
-) -> MemberFacts {
-    let millis = u64::try_from(clock.wall().as_millis()).unwrap_or(u64::MAX);
-    let millis = millis.max(least);
-    let advertised = |address: SocketAddr| {
-        SocketAddr::new(settings.advertise.unwrap_or(address.ip()), address.port())
-    };
-    MemberFacts {
-        instance: InstanceId {
-            node: NodeId::of(&settings.instance),
-            incarnation: NodeIncarnation(millis),
-        },
-        name: Arc::clone(&settings.instance),
-        domain: settings.domain.clone(),
-        region: Arc::clone(&settings.region),
-        peer_address: advertised(addresses.peers),
-        gossip_address: advertised(addresses.gossip),
-    }
-}
-
-/// The entries that other nodes, and earlier lives of this one, left; none when the fleet starts for
-/// the first time or they cannot be read soon. A daemon does not wait for them: it reads them later.
-fn earlier_entries(
-    settings: &DaemonSettings,
-    members: Option<&dyn MemberDirectory>,
-) -> anyhow::Result<Vec<MemberEntry>> {
-    let Some(members) = members.filter(|_| !settings.first_start) else {
-        return Ok(Vec::new());
-    };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context("cannot read the entries of earlier lives")?;
-    let listed =
-        runtime.block_on(async { tokio::time::timeout(ENTRY_LIMIT, members.list()).await });
-    match listed {
-        Ok(Ok(entries)) => return Ok(entries),
-        Ok(Err(error)) => tracing::warn!(%error, "the entries of earlier lives cannot be read"),
-        Err(_) => tracing::warn!("the entries of earlier lives were not read in time"),
-    }
-    Ok(Vec::new())
-}
-
-/// The least incarnation that this life may have.
-///
-/// Failure: the wall clock is set back and the node restarts; peers remember its earlier life with a
-/// greater incarnation and take the new one for old. The entry that the earlier life left tells its
-/// incarnation. Where it could not be read the wall clock has to do, and the roster tells when it
-/// did not.
-fn known_incarnation(settings: &DaemonSettings, entries: &[MemberEntry]) -> u64 {
-    let own = entries
-        .iter()
-        .filter(|entry| entry.name == settings.instance);
-    own.map(|entry| entry.incarnation + 1).max().unwrap_or(0)
-}
-
-fn fleet_keys(settings: &DaemonSettings) -> FleetKeys {
-    let current = FleetKey::new(&settings.fleet_keys.current.secret);
-    let previous = settings.fleet_keys.previous.as_ref();
-    FleetKeys {
-        current,
-        previous: previous.map(|key| FleetKey::new(&key.secret)),
-    }
-}
-
-fn engine_settings(settings: &DaemonSettings) -> anyhow::Result<EngineSettings> {
-    let mut parts = EngineSettings {
-        leave_serving: settings.drain.serving,
-        roster: section("roster", &settings.roster)?,
-        guard: section("guard", &settings.guard)?,
-        ..EngineSettings::default()
-    };
-    if let Some(share) = settings.limits.get("share") {
-        parts.share = section("limits.share", share)?;
-    }
-    if let Some(crash) = settings.limits.get("crash") {
-        parts.crash = section("limits.crash", crash)?;
-    }
-    if let Some(gate) = settings.limits.get("gate") {
-        parts.gate = section("limits.gate", gate)?;
-    }
-    parts
-        .validate()
-        .into_result()
-        .context("the settings have findings")?;
-    Ok(parts)
-}
-
-fn section<T>(place: &str, value: &serde_json::Value) -> anyhow::Result<T>
-where
-    T: serde::de::DeserializeOwned,
-{
-    serde_path_to_error::deserialize(value).with_context(|| format!("cannot read {place}"))
-}
-
 /// A running daemon.
 pub struct DaemonHandle {
     addresses: DaemonAddresses,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,8 +28,11 @@
 mod ring;
 pub mod settings;
 mod shell;
+mod sockets;
 mod source_thread;
+mod starting;
 mod work;
 
 pub use callers::{declared_body, is_hop_header, plain_head_answer, target_of};
-pub use daemon::{Daemon, DaemonAddresses, DaemonHandle};
+pub use daemon::{Daemon, DaemonHandle};
+pub use sockets::DaemonAddresses;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -30,6 +30,7 @@
 mod fencing;
 mod fleet;
 mod guarding;
+mod holding;
 mod ingress;
 mod membership;
 mod message;
