--- a/tests/testsuite/cli/mod.rs
+++ b/tests/testsuite/cli/mod.rs
@@ -9,6 +9,7 @@
 mod settings;
 mod shell;
 mod stand_in;
+mod trace;
 
 use std::path::Path;
 use std::process::{Command, Output};
