A malformed call of the store has an error of its own; names and reasons that were missing

A call or an answer that cannot be read was told as a refusal with status 0: LogError::Malformed says it. The test that asserted "Rejected 0" asserts "Malformed" now, which is as strict.

--- a/crates/daemon/src/log_thread.rs
+++ b/crates/daemon/src/log_thread.rs
@@ -272,7 +272,9 @@
         None => ("taken", None),
         Some(LogError::Uncertain { .. }) => ("uncertain", Some(EventCode::AppendUncertain)),
         Some(LogError::Throttled { .. }) => ("throttled", Some(EventCode::AppendThrottled)),
-        Some(LogError::Rejected { .. }) => ("refused", Some(EventCode::AppendRefused)),
+        Some(LogError::Rejected { .. } | LogError::Malformed { .. }) => {
+            ("refused", Some(EventCode::AppendRefused))
+        }
         Some(LogError::Unavailable { .. } | LogError::Trimmed { .. }) => ("unavailable", None),
     };
     let tags = MetricTags::new().with("result", result);
--- a/crates/daemon/src/source_thread.rs
+++ b/crates/daemon/src/source_thread.rs
@@ -106,11 +106,21 @@
             () = ended(&mut orders) => {}
         }
         if let Some(members) = members {
-            let _ = tokio::time::timeout(WITHDRAW_LIMIT, members.withdraw(&name)).await;
+            withdraw(members.as_ref(), &name).await;
         }
     });
 }
 
+/// Takes this node's entry away. Where that fails the entry stays, and other nodes find at their first
+/// probe that nobody is there.
+async fn withdraw(members: &dyn MemberDirectory, name: &str) {
+    match tokio::time::timeout(WITHDRAW_LIMIT, members.withdraw(name)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => tracing::debug!(%error, "this node's entry was not taken away"),
+        Err(_) => tracing::debug!("this node's entry was not taken away in time"),
+    }
+}
+
 async fn ended(orders: &mut mpsc::Receiver<LogOrder>) {
     while let Some(order) = orders.recv().await {
         tracing::debug!(?order, "a log order came under a fleet contract");
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::node::{NodeEngine, TimerPurpose};
 use crate::note::NodeNote;
 use crate::request::{OpenAttempt, RequestState};
+
 /// Upstreams that are asked before one that held the request off is made to run it. Failure: some
 /// upstreams fail part of their requests and are left idle, the others are full, and callers are
 /// refused. A try that may fail is better than none; what must not repeat is still refused by the node
@@ -21,8 +22,8 @@
 pub(crate) const QUIET_FOR: Duration = Duration::from_millis(300);
 /// The same for one that the membership suspects: until it is found dead or cleared.
 pub(crate) const SUSPECT_FOR: Duration = Duration::from_secs(2);
-/// How long an upstream that held work off is not asked again. Two trials fit into it, and other
-/// nodes ask meanwhile.
+/// How long an upstream that held work off is not asked again by this node: half of the least time
+/// between two trials there, so that a server that is whole again is found within that time.
 const HELD_FOR: Duration = Duration::from_millis(800);
 /// Share of the objective within which a run has to begin: work takes a third of it on average.
 const START_SHARE: f64 = 0.6;
--- a/crates/engine/src/fencing.rs
+++ b/crates/engine/src/fencing.rs
@@ -121,6 +121,7 @@
             {
                 upstream.gate.cancel(now, work);
             }
+            // Nobody reads this refusal: the way it would take is the one that broke.
             self.refuse_gated(now, work, RefusalCode::Draining, None, out);
         }
         let begun = self.fence_mark(attempt) == Some(FenceMark::Begun);
--- a/crates/log/src/client.rs
+++ b/crates/log/src/client.rs
@@ -61,6 +61,12 @@
         /// What the log says.
         reason: String,
     },
+    /// The call cannot be written, or its answer cannot be read. A further try gives the same.
+    #[error("a call of the log, or its answer, is malformed: {reason}")]
+    Malformed {
+        /// What is wrong with it.
+        reason: String,
+    },
     /// The log takes no more appends now; it took no effect.
     #[error("log takes no more calls now, try again in {retry_after:?}")]
     Throttled {
--- a/crates/log/src/http_log.rs
+++ b/crates/log/src/http_log.rs
@@ -116,8 +116,7 @@
             .authority(self.authority.as_str())
             .path_and_query(path)
             .build()
-            .map_err(|error| LogError::Rejected {
-                status: 0,
+            .map_err(|error| LogError::Malformed {
                 reason: format!("stream name {stream:?}: {error}"),
             })
     }
--- a/crates/log/tests/http_log.rs
+++ b/crates/log/tests/http_log.rs
@@ -19,6 +19,7 @@
         LogError::Unavailable { .. } => "Unavailable".to_owned(),
         LogError::Uncertain { .. } => "Uncertain".to_owned(),
         LogError::Rejected { status, .. } => format!("Rejected {status}"),
+        LogError::Malformed { .. } => "Malformed".to_owned(),
         LogError::Throttled { .. } => "Throttled".to_owned(),
         LogError::Trimmed { first } => format!("Trimmed {first}"),
     }
@@ -83,7 +84,7 @@
         let trimmed = client.read(STREAM, from(0)).await.unwrap_err();
         assert_eq!(trimmed, LogError::Trimmed { first: 1 });
         let odd = client.append("no such name\n", Bytes::new()).await;
-        assert_eq!(name(&odd.unwrap_err()), "Rejected 0");
+        assert_eq!(name(&odd.unwrap_err()), "Malformed");
     });
 }
 
--- a/crates/ops/src/trace.rs
+++ b/crates/ops/src/trace.rs
@@ -176,7 +176,11 @@
         .lines
         .iter()
         .filter(|line| line.is(EventCode::WorkStarted));
-    let started = started.count();
+    let started = match started.count() {
+        0 => "at no time".to_owned(),
+        1 => "once".to_owned(),
+        count => format!("{count} times"),
+    };
     let end = trace
         .lines
         .iter()
@@ -194,12 +198,12 @@
     };
     match end.field("run") {
         "not-run" => format!(
-            "Not run ({}): handed to a backend server {started} times, each of which it turned \
-             away or never saw. Last word from beside an upstream: {cause}.",
+            "Not run ({}): handed to a backend server {started}, and run by none. Last \
+             word from beside an upstream: {cause}.",
             end.field("refusal")
         ),
         _ => format!(
-            "May have run ({}): handed to a backend server {started} times. Last word from beside \
+            "May have run ({}): handed to a backend server {started}. Last word from beside \
              an upstream: {cause}.",
             end.field("refusal")
         ),
--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -37,7 +37,6 @@
 /// are repeated elsewhere, and repeats are bounded: a trial of each failing server in this time
 /// stays under a quarter of what a service may repeat when a third of its servers fail.
 const TRIAL_PAUSE: Duration = Duration::from_millis(1500);
-
 /// Longest time between two trials: half the shortest fault that is usual.
 const LONGEST_PAUSE: Duration = Duration::from_millis(2500);
 /// Most doublings of the pause.
