One copy of what the fleet form had written twice; parts that nobody read are gone

The time that a leaving node serves on is one constant of the engine. - Repeats and resends are taken out of their budgets by one function; metric families are made by one. An ended life is remembered in one place. - The choice of an upstream copies held-off upstreams once instead of twice. - Settings that are in force are not checked again every five seconds, which built all borders anew. - FleetTable no longer keeps names of services and routes that nothing reads. Looked at and left: the second check of a contract when it is adopted (a peer's page has had none), the two forms of a request's head (they differ in what the length and the id mean), the looks of keyed and unkeyed refusals (one settles with the guard).

--- a/crates/contract/src/fleet/table.rs
+++ b/crates/contract/src/fleet/table.rs
@@ -1,9 +1,9 @@
 //! The compiled form of a fleet contract, read by the request path.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use sycamorelink_core::{CustomerName, ServiceName};
+use sycamorelink_core::CustomerName;
 
 use super::{FLEET_CUSTOMER, FleetContract, FleetRoute, RoutePart};
 use crate::change::ContractVersion;
@@ -22,8 +22,6 @@
 /// A route with a rule for each of its parts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetRule {
-    /// Name of the route.
-    pub name: Arc<str>,
     parts: Vec<(u32, RouteRule)>,
     total: u64,
 }
@@ -54,7 +52,6 @@
 pub struct FleetTable {
     version: u64,
     hosts: BTreeMap<Arc<str>, BTreeMap<Arc<str>, FleetRule>>,
-    services: BTreeSet<ServiceName>,
 }
 
 impl FleetTable {
@@ -70,7 +67,6 @@
         Self {
             version: contract.version,
             hosts,
-            services: contract.services.iter().cloned().collect(),
         }
     }
 
@@ -80,11 +76,6 @@
         self.version
     }
 
-    /// Services that the contract names.
-    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.services.iter()
-    }
-
     /// The route for a request: of the host's routes the one with the longest prefix that begins
     /// the path. Prefixes end with a slash, so only the path's slashes are looked at, from the last.
     #[must_use]
@@ -120,7 +111,6 @@
         .map(|part| (part.weight, part_rule(route, part, terms)))
         .collect();
     FleetRule {
-        name: Arc::clone(&route.name),
         total: parts.iter().map(|(weight, _)| u64::from(*weight)).sum(),
         parts,
     }
--- a/crates/daemon/src/border/backend.rs
+++ b/crates/daemon/src/border/backend.rs
@@ -102,8 +102,7 @@
 ///
 /// Failure: a reply that ends with its connection looks whole wherever it is cut. Only replies that
 /// tell their length or mark their end can be known to be whole.
-#[must_use]
-pub fn has_end(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+fn has_end(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
     let bodyless = *method == Method::HEAD
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -19,8 +19,7 @@
 pub use builder::SettingsBuilder;
 pub use model::{
     DaemonSettings, DrainSettings, FleetKey, FleetKeyring, InterfaceForm, ListenAddresses,
-    LogFormat, LogLevel, LogOutput, LogStream, OperatorAccount, OperatorRole, PlatformLog,
-    TelemetrySettings,
+    LogLevel, LogOutput, OperatorAccount, OperatorRole, PlatformLog, TelemetrySettings,
 };
 pub use sections::section_defaults;
 pub use units::{UnitBytes, UnitDuration, parse_duration};
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -9,6 +9,8 @@
 use serde_json::Value;
 use serde_with::serde_as;
 use sycamorelink_core::{DomainName, ServiceName};
+use sycamorelink_engine::LEAVE_SERVING;
+use sycamorelink_telemetry::{LogFormat, LogTarget};
 
 use super::units::{UnitBytes, UnitDuration};
 
@@ -22,9 +24,6 @@
 const DEFAULT_HEADER_LIMIT: usize = 16 << 10;
 /// Bytes of a reply held back before its head goes to the caller.
 const DEFAULT_REPLY_BUFFER: usize = 64 << 10;
-/// How long a leaving daemon still takes callers' requests: callers that look every second whether
-/// it is ready have then looked elsewhere.
-const DEFAULT_DRAIN_SERVING: Duration = Duration::from_secs(5);
 /// How long a drain waits for requests in flight.
 const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(30);
 
@@ -226,7 +225,7 @@
     fn default() -> Self {
         Self {
             limit: DEFAULT_DRAIN_LIMIT,
-            serving: DEFAULT_DRAIN_SERVING,
+            serving: LEAVE_SERVING,
         }
     }
 }
@@ -250,29 +249,7 @@
     /// Least severe level that is written.
     pub level: LogLevel,
     /// Standard error or standard output.
-    pub output: LogStream,
-}
-
-/// Where log lines go.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum LogStream {
-    /// Standard error.
-    #[default]
-    Stderr,
-    /// Standard output.
-    Stdout,
-}
-
-/// Form of one log line.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum LogFormat {
-    /// For people.
-    #[default]
-    Text,
-    /// For programs.
-    Json,
+    pub output: LogTarget,
 }
 
 /// Least severe level that is written.
--- a/crates/daemon/src/work/attempt.rs
+++ b/crates/daemon/src/work/attempt.rs
@@ -25,6 +25,7 @@
 /// Longest wait for a peer's answer before work is sent to another: seventy times the way there and
 /// back.
 const PROOF_WAIT: Duration = Duration::from_millis(200);
+
 /// What rides along with a work head besides the inner protocol's own fields.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct WorkExtras {
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -27,8 +27,11 @@
         };
         let slot = announced.slot;
         let lapses = now + self.settings.announcement;
-        let known = self.upstreams.remove(&slot);
-        let ended = known.as_ref().map(|known| known.ended_by(&announced));
+        let mut known = self.upstreams.remove(&slot);
+        if let Some(known) = &mut known {
+            known.end_if_replaced(&announced);
+        }
+        let ended = known.as_ref().map(|known| known.ended.clone());
         let fresh = known.as_ref().is_none_or(|known| !known.up);
         let same = known.as_ref().is_some_and(|known| {
             known.up
@@ -299,18 +302,14 @@
         }
     }
 
-    /// The lives that have ended once this announcement is taken.
-    fn ended_by(&self, announced: &UpstreamAnnouncement) -> Vec<Arc<str>> {
-        let mut ended = self.ended.clone();
+    /// Remembers that the life that runs now ended, if another one announces itself.
+    fn end_if_replaced(&mut self, announced: &UpstreamAnnouncement) {
         let next = announced.life.as_ref().map(|life| &life.name);
         if let Some(name) = self.life_name()
             && next != Some(&name)
         {
-            ended.push(name);
+            self.end_life(name);
         }
-        let surplus = ended.len().saturating_sub(ENDED_LIVES);
-        ended.drain(..surplus);
-        ended
     }
 }
 
--- a/crates/engine/src/budgets.rs
+++ b/crates/engine/src/budgets.rs
@@ -11,6 +11,7 @@
 use crate::node::{BudgetPair, NodeEngine};
 use crate::note::NodeNote;
 use crate::request::RequestState;
+
 impl NodeEngine {
     /// Whether a retry may be made. One that met nobody loads no backend server and costs nothing:
     /// the executor was gone or leaving, and the attempts of a request are few.
@@ -35,34 +36,13 @@
         }
         let turned_away = report.run == RunState::NotRun && report.kind == SampleKind::Refused;
         if self.has_fleet_form() && turned_away {
-            return self.spend_resend(now, id, out);
+            // A resend follows a send that no backend server ran, so it makes no calls a second time
+            // and has a budget apart from that of repeats.
+            return self.spend(now, id, |pair| &mut pair.resends, out);
         }
         self.spend_retry(now, id, out)
     }
 
-    /// Takes one resend out of the budget. A resend follows a send that no backend server ran, so
-    /// it makes no calls a second time and has a budget apart from that of repeats.
-    fn spend_resend(&mut self, now: Duration, id: RequestId, out: &mut Vec<NodeCommand>) -> bool {
-        let slack = self.fleet_retry_slack();
-        let Some(state) = self.requests.get(&id) else {
-            return false;
-        };
-        let resends = &mut budget_entry(&mut self.budgets, state).resends;
-        resends.set_slack(slack);
-        resends.withdraw(now) || self.note_spent(id, out)
-    }
-
-    /// Tells that a budget is used up; always false.
-    fn note_spent(&self, id: RequestId, out: &mut Vec<NodeCommand>) -> bool {
-        if let Some(state) = self.requests.get(&id) {
-            out.push(NodeCommand::Note(NodeNote::RetryBudgetSpent {
-                customer: state.terms().customer.clone(),
-                service: state.rule.service.clone(),
-            }));
-        }
-        false
-    }
-
     /// Takes one retry out of the budget. A refusal by an executor costs nothing at a backend
     /// server, yet counts: under overload every upstream refuses, and unbounded tries would
     /// multiply the load on the daemons.
@@ -71,14 +51,32 @@
         now: Duration,
         id: RequestId,
         out: &mut Vec<NodeCommand>,
+    ) -> bool {
+        self.spend(now, id, |pair| &mut pair.retries, out)
+    }
+
+    /// Takes one out of a budget, or tells that it is used up.
+    fn spend(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        choose: fn(&mut BudgetPair) -> &mut RetryBudget,
+        out: &mut Vec<NodeCommand>,
     ) -> bool {
         let slack = self.fleet_retry_slack();
         let Some(state) = self.requests.get(&id) else {
             return false;
         };
-        let retries = &mut budget_entry(&mut self.budgets, state).retries;
-        retries.set_slack(slack);
-        retries.withdraw(now) || self.note_spent(id, out)
+        let budget = choose(budget_entry(&mut self.budgets, state));
+        budget.set_slack(slack);
+        if budget.withdraw(now) {
+            return true;
+        }
+        out.push(NodeCommand::Note(NodeNote::RetryBudgetSpent {
+            customer: state.terms().customer.clone(),
+            service: state.rule.service.clone(),
+        }));
+        false
     }
 }
 
@@ -102,8 +100,8 @@
             minimum_per_second: 0,
             ..BudgetSettings::default()
         };
-        // Repeats and resends share one bound. Resends get the greater part of it that repeats
-        // leave: half of the bound's share, and as much of what is allowed besides.
+        // Repeats and resends each have the whole share of the contract: whoever sets it divides the
+        // deployment's bound between them.
         let resends = BudgetSettings {
             minimum_per_second: 0,
             ..retries.clone()
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -40,24 +40,18 @@
         let service = self.requests.get(&id)?.rule.service.clone();
         self.ensure_pool(now, &service);
         self.pool_used.insert(service.clone(), now);
-        let held = self.held_upstreams(now);
+        self.held_off.retain(|_, until| *until > now);
         let state = self.requests.get(&id)?;
         let pool = self.pools.get_mut(&service)?;
         let tried = state.plan.exclude();
         let tried = tried.as_slice();
-        let apart: Vec<UpstreamId> = tried.iter().copied().chain(held).collect();
+        let apart: Vec<UpstreamId> = tried.iter().chain(self.held_off.keys()).copied().collect();
         let first = (apart.len() > tried.len()).then(|| pool.pick(now, &apart));
         let upstream = first.flatten().or_else(|| pool.pick(now, tried))?;
         let executor = self.instance_of(upstream.node)?;
         Some((upstream, executor))
     }
 
-    /// Upstreams that held work off a moment ago.
-    fn held_upstreams(&mut self, now: Duration) -> Vec<UpstreamId> {
-        self.held_off.retain(|_, until| *until > now);
-        self.held_off.keys().copied().collect()
-    }
-
     /// Failure: an instance is lost without a word, and for the second until its connections count
     /// as silent it is sent more work, of which nobody will know whether it ran. An instance that
     /// owes an answer gets nothing new for a moment; the connection, and the work on it, is left
@@ -97,8 +91,8 @@
     /// An upstream that held the request off and was not yet made to run it.
     pub(crate) fn last_held(&self, id: RequestId) -> Option<UpstreamId> {
         let state = self.requests.get(&id)?;
-        let insisted = state.insisted;
-        state.held.iter().rev().copied().find(|_| !insisted)
+        let last = state.held.last().copied();
+        last.filter(|_| !state.insisted)
     }
 
     pub(crate) fn refuse_no_upstream(
@@ -145,7 +139,8 @@
         let number = state.attempts;
         state.attempts += 1;
         state.plan.tried(upstream);
-        state.insisted |= state.held.contains(&upstream);
+        let insist = state.held.contains(&upstream);
+        state.insisted |= insist;
         state.open.push(OpenAttempt {
             number,
             upstream,
@@ -174,7 +169,7 @@
             max_body: state.rule.max_body,
             reply_buffer: usize::try_from(state.rule.reply_buffer).unwrap_or(usize::MAX),
             trial_fit: state.rule.repeat == RepeatClass::Idempotent && state.uncertain == 0,
-            insist: state.held.contains(&upstream),
+            insist,
             patience: patience_of(now, state),
         };
         out.push(NodeCommand::Note(NodeNote::AttemptSent {
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -91,6 +91,10 @@
         report: &AttemptReport,
         out: &mut Vec<NodeCommand>,
     ) {
+        let held_off = report.code == Some(RefusalCode::UpstreamSuspect);
+        if held_off {
+            self.note_held_off(now, attempt.upstream);
+        }
         let Some(state) = self.requests.get_mut(&id) else {
             return;
         };
@@ -106,13 +110,9 @@
         if report.run != RunState::NotRun {
             state.uncertain += 1;
         }
-        if report.code == Some(RefusalCode::UpstreamSuspect) {
+        if held_off {
             state.held.push(attempt.upstream);
-            self.note_held_off(now, attempt.upstream);
         }
-        let Some(state) = self.requests.get_mut(&id) else {
-            return;
-        };
         if !state.open.is_empty() {
             return;
         }
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -44,9 +44,8 @@
             Ok(state) => {
                 self.timers
                     .insert((state.deadline, TimerPurpose::Deadline, id));
-                let open = state.customer.0 == FLEET_INDEX.0;
                 self.requests.insert(id, state);
-                if open {
+                if self.has_fleet_form() {
                     self.begin(now, id, out);
                 } else {
                     self.try_share(now, id, out);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -51,5 +51,5 @@
 pub use message::{ContractAsk, PeerMessage};
 pub use node::NodeEngine;
 pub use note::{NodeNote, RequestSummary};
-pub use settings::EngineSettings;
+pub use settings::{EngineSettings, LEAVE_SERVING};
 pub use status::{MemberStatus, NodeStatus, ServiceStatus, UpstreamStatus};
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -11,6 +11,10 @@
 
 use crate::fleet::ContractForm;
 
+/// How long a leaving node takes callers' requests unless its settings say otherwise: callers that
+/// look every second whether it is ready have then looked elsewhere.
+pub const LEAVE_SERVING: Duration = Duration::from_secs(5);
+
 /// Settings of one node's decisions. Every value has a default.
 #[serde_as]
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -49,7 +53,7 @@
     fn default() -> Self {
         Self {
             contracts: ContractForm::default(),
-            leave_serving: Duration::from_secs(5),
+            leave_serving: LEAVE_SERVING,
             roster: RosterSettings::default(),
             guard: GuardSettings::default(),
             share: ShareSettings::default(),
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -54,18 +54,23 @@
     world
 }
 
-// A booking is lost on the way to the node beside the backend server. The way heals, the connection
-// counts as lost, and that node says that it has not begun the booking: it runs elsewhere, once.
-#[test]
-fn a_booking_lost_on_the_way_runs_once() {
-    let mut world = a_node_before(2);
-    for name in ["b", "c"] {
-        world.wire.cuts.insert((node("a"), node(name)));
+/// A booking through `a` while these ways are cut for a second.
+fn book_over_cuts(world: &mut SessionWorld, cuts: &[(&str, &str)]) {
+    for (from, to) in cuts {
+        world.wire.cuts.insert((node(from), node(to)));
     }
     world.call("a", 1, "POST", "/bookings", None);
     world.run_for(Duration::from_secs(1));
     world.wire.cuts.clear();
     world.run_for(REST);
+}
+
+// A booking is lost on the way to the node beside the backend server. The way heals, the connection
+// counts as lost, and that node says that it has not begun the booking: it runs elsewhere, once.
+#[test]
+fn a_booking_lost_on_the_way_runs_once() {
+    let mut world = a_node_before(2);
+    book_over_cuts(&mut world, &[("a", "b"), ("a", "c")]);
     assert_eq!(world.runs.get(&RequestId(1)), Some(&1));
     insta::assert_snapshot!(world.trace());
 }
@@ -75,11 +80,7 @@
 #[test]
 fn a_booking_whose_reply_is_lost_is_not_run_again() {
     let mut world = a_node_before(1);
-    world.wire.cuts.insert((node("b"), node("a")));
-    world.call("a", 1, "POST", "/bookings", None);
-    world.run_for(Duration::from_secs(1));
-    world.wire.cuts.clear();
-    world.run_for(REST);
+    book_over_cuts(&mut world, &[("b", "a")]);
     assert_eq!(world.runs.get(&RequestId(1)), Some(&1));
     insta::assert_snapshot!(world.trace());
 }
--- a/crates/ops/src/reload.rs
+++ b/crates/ops/src/reload.rs
@@ -59,6 +59,9 @@
 
     fn checked(&self) -> Result<DaemonSettings, String> {
         let settings = read_settings(&self.file).map_err(|error| format!("{error:#}"))?;
+        if settings == self.in_force {
+            return Ok(settings);
+        }
         match (self.borders)(&settings) {
             Ok(_) => Ok(settings),
             Err(findings) => Err(findings.to_string()),
--- a/crates/ops/src/serve.rs
+++ b/crates/ops/src/serve.rs
@@ -11,7 +11,7 @@
 
 use anyhow::{Context, bail};
 use serde::Serialize;
-use sycamorelink_daemon::settings::{DaemonSettings, LogFormat, LogLevel, LogStream};
+use sycamorelink_daemon::settings::{DaemonSettings, LogLevel};
 use sycamorelink_daemon::{Daemon, DaemonAddresses, DaemonHandle};
 use sycamorelink_telemetry::{EventCode, EventFields, LogSettings, emit};
 use tokio::runtime::Builder;
@@ -89,16 +89,9 @@
 
 fn log_settings(settings: &DaemonSettings) -> LogSettings {
     let output = settings.telemetry.log;
-    let format = match output.format {
-        LogFormat::Text => sycamorelink_telemetry::LogFormat::Text,
-        LogFormat::Json => sycamorelink_telemetry::LogFormat::Json,
-    };
     LogSettings {
-        format,
-        output: match output.output {
-            LogStream::Stderr => sycamorelink_telemetry::LogOutput::Stderr,
-            LogStream::Stdout => sycamorelink_telemetry::LogOutput::Stdout,
-        },
+        format: output.format,
+        output: output.output,
         level: log_filter(output.level),
     }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -23,7 +23,7 @@
     render_catalogue,
 };
 pub use latency::{LatencyPercentiles, LatencySummary};
-pub use log::{LogFormat, LogGuard, LogOutput, LogSettings};
+pub use log::{LogFormat, LogGuard, LogSettings, LogTarget};
 pub use metric::{
     MetricName, MetricPage, MetricRegistry, MetricSettings, MetricSink, MetricTags, open_sink,
     render_metrics,
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -30,7 +30,7 @@
 /// Where log lines go.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum LogOutput {
+pub enum LogTarget {
     /// Standard error.
     #[default]
     Stderr,
@@ -65,7 +65,7 @@
     /// Form of a line.
     pub format: LogFormat,
     /// Where lines go.
-    pub output: LogOutput,
+    pub output: LogTarget,
     /// Filter by level and target, such as `info` or `warn,sycamorelink=debug`.
     pub level: String,
 }
@@ -74,7 +74,7 @@
     fn default() -> Self {
         Self {
             format: LogFormat::Text,
-            output: LogOutput::Stderr,
+            output: LogTarget::Stderr,
             level: "info".to_owned(),
         }
     }
@@ -115,8 +115,8 @@
     /// [`LogError`] when the level is no filter or logging is set up already.
     pub fn install(&self) -> Result<LogGuard, LogError> {
         let writer: Box<dyn io::Write + Send> = match self.output {
-            LogOutput::Stderr => Box::new(io::stderr()),
-            LogOutput::Stdout => Box::new(io::stdout()),
+            LogTarget::Stderr => Box::new(io::stderr()),
+            LogTarget::Stdout => Box::new(io::stdout()),
         };
         let builder = NonBlockingBuilder::default().buffered_lines_limit(QUEUED_LINES);
         let (writer, guard) = builder.finish(writer);
--- a/crates/telemetry/src/metric/page.rs
+++ b/crates/telemetry/src/metric/page.rs
@@ -15,7 +15,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 
 use super::sink::{MetricSample, MetricSink, SinkError};
 use super::{MetricKind, MetricTags};
@@ -96,35 +96,41 @@
     Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
 }
 
+/// The family of this name, registered when it is first asked for.
+fn family_of<T>(
+    registry: &mut Registry,
+    known: &mut BTreeMap<String, T>,
+    name: String,
+    new: fn() -> T,
+) -> T
+where
+    T: Metric + Clone,
+{
+    let family = known.entry(name).or_insert_with_key(|name| {
+        let family = new();
+        registry.register(name, "see docs/metrics.md", family.clone());
+        family
+    });
+    family.clone()
+}
+
 impl PageState {
     fn counter(&mut self, name: String) -> Family<PageLabels, Counter> {
-        let registry = &mut self.registry;
-        let made = self.counters.entry(name).or_insert_with_key(|name| {
-            let family = Family::default();
-            registry.register(name, "see docs/metrics.md", family.clone());
-            family
-        });
-        made.clone()
+        family_of(
+            &mut self.registry,
+            &mut self.counters,
+            name,
+            Family::default,
+        )
     }
 
     fn gauge(&mut self, name: String) -> Family<PageLabels, Gauge> {
-        let registry = &mut self.registry;
-        let made = self.gauges.entry(name).or_insert_with_key(|name| {
-            let family = Family::default();
-            registry.register(name, "see docs/metrics.md", family.clone());
-            family
-        });
-        made.clone()
+        family_of(&mut self.registry, &mut self.gauges, name, Family::default)
     }
 
     fn histogram(&mut self, name: String) -> HistogramFamily {
-        let registry = &mut self.registry;
-        let made = self.histograms.entry(name).or_insert_with_key(|name| {
-            let family = Family::new_with_constructor(new_histogram as fn() -> Histogram);
-            registry.register(name, "see docs/metrics.md", family.clone());
-            family
-        });
-        made.clone()
+        let new = || Family::new_with_constructor(new_histogram as fn() -> Histogram);
+        family_of(&mut self.registry, &mut self.histograms, name, new)
     }
 }
 
