A backend server that starts again under its id is a new life at once

Cause: a server may start again under the id that it had, counts its heartbeats from one and tells when it was born. Its heartbeats were taken for late ones of the life before, so it stood idle until its count had caught up, and a life that had left was never ready again.

Change: lives are told apart by name and start (LifeId). A later start of the same name replaces the life before with new odds, slots and warm-up; late heartbeats and withdrawals of the earlier one change nothing; ends of runs of a life that is over no longer count for the next.

Ruled out: counting alone (a count that starts anew cannot be told from a late heartbeat).

--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -1,6 +1,5 @@
 //! Backend servers beside this node: their announcements, and what the fleet is told of them.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::{RefusalCode, ServiceName, UpstreamId};
@@ -9,7 +8,7 @@
 use sycamorelink_roster::RosterEvent;
 
 use crate::command::NodeCommand;
-use crate::event::{UpstreamAnnouncement, UpstreamLife};
+use crate::event::{LifeId, UpstreamAnnouncement};
 use crate::node::{CLOSE_GRACE, LocalUpstream, NodeEngine};
 use crate::note::NodeNote;
 use crate::request::WorkPhase;
@@ -89,6 +88,10 @@
     /// Failure: an announcement is held up, its sender ends, and another life takes its place; the
     /// late one would bring the dead life back. Each life counts its announcements, and a life that
     /// another replaced is never taken again. One that leaves goes on leaving whatever it says.
+    ///
+    /// Failure: a backend server starts again under its name and counts its announcements anew. Taken
+    /// for late ones of the life before, they are ignored until the count has caught up, and the
+    /// server stands idle. The time of its start tells the later life.
     fn admit_announcement(&self, announced: UpstreamAnnouncement) -> Option<UpstreamAnnouncement> {
         let Some(life) = &announced.life else {
             return Some(announced);
@@ -96,11 +99,14 @@
         let Some(known) = self.upstreams.get(&announced.slot) else {
             return Some(announced);
         };
-        if known.ended.contains(&life.name) {
+        if known.ended.contains(&life.id) {
+            return None;
+        }
+        let current = known.announced.life.as_ref();
+        if current.is_some_and(|current| life.id.is_earlier_than(&current.id)) {
             return None;
         }
-        let same = known.announced.life.as_ref();
-        let same = same.filter(|same| same.name == life.name);
+        let same = current.filter(|same| same.id == life.id);
         if same.is_some_and(|same| life.order <= same.order) {
             return None;
         }
@@ -119,22 +125,22 @@
         &mut self,
         now: Duration,
         slot: u16,
-        life: Option<&Arc<str>>,
+        life: Option<&LifeId>,
         out: &mut Vec<NodeCommand>,
     ) {
         let Some(known) = self.upstreams.get_mut(&slot) else {
             return;
         };
-        let Some(name) = life else {
+        let Some(id) = life else {
             return self.on_withdrawn(now, slot, out);
         };
-        let current = known.announced.life.as_ref();
-        if current.is_none_or(|current| current.name != *name) {
-            known.end_life(Arc::clone(name));
+        let current = known.life_id();
+        let Some(current) = current.filter(|current| id.names(current)) else {
+            known.end_life(id.clone());
             return;
-        }
+        };
         if known.announced.phase == UpstreamPhase::Leaving {
-            known.end_life(Arc::clone(name));
+            known.end_life(current);
             return self.on_withdrawn(now, slot, out);
         }
         let mut leaving = known.announced.clone();
@@ -149,9 +155,9 @@
     /// now has not announced itself yet.
     pub(crate) fn on_replaced(&mut self, now: Duration, slot: u16, out: &mut Vec<NodeCommand>) {
         if let Some(known) = self.upstreams.get_mut(&slot)
-            && let Some(name) = known.life_name()
+            && let Some(id) = known.life_id()
         {
-            known.end_life(name);
+            known.end_life(id);
         }
         self.on_withdrawn(now, slot, out);
     }
@@ -286,16 +292,16 @@
 const ENDED_LIVES: usize = 8;
 
 impl LocalUpstream {
-    /// Name of the life that runs now.
-    pub(crate) fn life_name(&self) -> Option<Arc<str>> {
+    /// The life that runs now.
+    pub(crate) fn life_id(&self) -> Option<LifeId> {
         let life = self.announced.life.as_ref();
-        life.map(|life| Arc::clone(&life.name))
+        life.map(|life| life.id.clone())
     }
 
     /// Remembers that a life ended.
-    pub(crate) fn end_life(&mut self, name: Arc<str>) {
-        if !self.ended.contains(&name) {
-            self.ended.push(name);
+    pub(crate) fn end_life(&mut self, id: LifeId) {
+        if !self.ended.contains(&id) {
+            self.ended.push(id);
         }
         if self.ended.len() > ENDED_LIVES {
             self.ended.remove(0);
@@ -304,11 +310,11 @@
 
     /// Remembers that the life that runs now ended, if another one announces itself.
     fn end_if_replaced(&mut self, announced: &UpstreamAnnouncement) {
-        let next = announced.life.as_ref().map(|life| &life.name);
-        if let Some(name) = self.life_name()
-            && next != Some(&name)
+        let next = announced.life.as_ref().map(|life| &life.id);
+        if let Some(id) = self.life_id()
+            && next != Some(&id)
         {
-            self.end_life(name);
+            self.end_life(id);
         }
     }
 }
@@ -316,8 +322,7 @@
 /// A backend server that closed its gate and comes back is a new life of it.
 fn is_same_life(known: &LocalUpstream, announced: &UpstreamAnnouncement) -> bool {
     let reopened = known.closes.is_some() && announced.phase != UpstreamPhase::Leaving;
-    let name = |life: &UpstreamLife| Arc::clone(&life.name);
-    let same = known.announced.life.as_ref().map(name) == announced.life.as_ref().map(name);
+    let same = known.life_id().as_ref() == announced.life.as_ref().map(|life| &life.id);
     known.announced.slots == announced.slots && !reopened && same
 }
 
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -87,7 +87,7 @@
         /// Its number on this node.
         slot: u16,
         /// The life that withdraws, where it says so.
-        life: Option<Arc<str>>,
+        life: Option<LifeId>,
     },
     /// Records of the platform's log, in order.
     LogRead {
@@ -291,11 +291,37 @@
     pub warm_up: Option<Duration>,
 }
 
+/// Which life of a backend server is meant. A server may start again under the name that it had; the
+/// time of its start then tells the lives apart.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LifeId {
+    /// Name that the server goes by.
+    pub name: Arc<str>,
+    /// When the life began by the server's own clock, as time since the Unix epoch; none where it
+    /// does not say. Compared only between lives of one name, which run on one clock.
+    pub started: Option<Duration>,
+}
+
+impl LifeId {
+    /// Whether this life of the same name began before the other one. One that does not say when it
+    /// began is taken as the earlier.
+    #[must_use]
+    pub fn is_earlier_than(&self, other: &Self) -> bool {
+        self.name == other.name && self.started < other.started
+    }
+
+    /// Whether this names the other life: one who withdraws need not say when its life began.
+    #[must_use]
+    pub fn names(&self, other: &Self) -> bool {
+        self.name == other.name && (self.started.is_none() || self.started == other.started)
+    }
+}
+
 /// One life of a backend server, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamLife {
-    /// Name of the life, never used again.
-    pub name: Arc<str>,
+    /// Which life.
+    pub id: LifeId,
     /// Grows with each announcement of this life, so that a late one can be told.
     pub order: u64,
 }
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -38,6 +38,7 @@
             phase: WorkPhase::Queued,
             offered: now,
             started: now,
+            life: None,
             on_turn: false,
             broke: false,
             on_trial: false,
@@ -154,7 +155,12 @@
             pool.started_here(now, id);
         }
         let upstream = self.upstreams.get(&slot);
-        let life = upstream.and_then(LocalUpstream::life_name);
+        let life = upstream.and_then(LocalUpstream::life_id);
+        let Some(state) = self.works.get_mut(&work) else {
+            return;
+        };
+        state.life.clone_from(&life);
+        let life = life.map(|life| life.name);
         self.mark_fence(now, attempt, FenceMark::Begun);
         self.note_decided(work, None, out);
         out.push(NodeCommand::RunWork { work, life });
--- a/crates/engine/src/holding.rs
+++ b/crates/engine/src/holding.rs
@@ -109,6 +109,8 @@
         };
         let trial = std::mem::take(&mut state.on_trial);
         if let Some(upstream) = self.upstreams.get_mut(&state.offer.slot) {
+            // What ran in a life that has ended says nothing about the one that followed.
+            let kind = kind.filter(|_| state.life == upstream.life_id());
             let before = upstream.breaker.is_suspect();
             if let Some(kind) = kind {
                 upstream.breaker.ended(now, kind);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -44,7 +44,7 @@
 
 pub use command::{AttemptOrder, NodeCommand};
 pub use event::{
-    AttemptReport, CallerRequest, LogEntry, LogStream, NodeEvent, UpstreamAnnouncement,
+    AttemptReport, CallerRequest, LifeId, LogEntry, LogStream, NodeEvent, UpstreamAnnouncement,
     UpstreamLife, WorkEnd, WorkOffer, WorkReport,
 };
 pub use fleet::ContractForm;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -17,7 +17,7 @@
 
 use crate::command::NodeCommand;
 use crate::dispatch::QUIET_FOR;
-use crate::event::{NodeEvent, UpstreamAnnouncement};
+use crate::event::{LifeId, NodeEvent, UpstreamAnnouncement};
 use crate::fencing::FenceMark;
 use crate::fleet::FleetState;
 use crate::request::{RequestState, WorkState};
@@ -59,8 +59,8 @@
     pub(crate) life: u64,
     /// Whether it may be given work.
     pub(crate) up: bool,
-    /// Names of lives that ended, newest last.
-    pub(crate) ended: Vec<Arc<str>>,
+    /// Lives that ended, newest last.
+    pub(crate) ended: Vec<LifeId>,
 }
 
 /// What a timer is for.
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -9,7 +9,7 @@
 use sycamorelink_limits::{CrashSignature, CustomerIndex};
 use sycamorelink_policy::RetryPlan;
 
-use crate::event::{AttemptReport, CallerRequest, WorkOffer};
+use crate::event::{AttemptReport, CallerRequest, LifeId, WorkOffer};
 
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -143,6 +143,8 @@
     pub offered: Duration,
     /// When it took its slot.
     pub started: Duration,
+    /// Life of the backend server that it was handed to.
+    pub life: Option<LifeId>,
     /// Whether it runs on a turn given out by the signature's owner.
     pub on_turn: bool,
     /// Whether the breaker was told that its connection broke.
