An upstream that is no worse than usual is as good as any

Cause: chances below what is usual in the service still ranked upstreams.

Change: only what lies above the usual chance costs.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -150,7 +150,7 @@
         let record = &self.records[place];
         let near = self.near.as_ref();
         let is_far = near.is_some_and(|near| self.domains[record.domain_index] != *near);
-        let fails = self.failing_chance(now, record) * FAILED_SHARE;
+        let fails = self.excess_chance(now, record) * FAILED_SHARE;
         let shifted = (1.0 - record.weight) * SHIFTED_COST;
         fails + shifted + wait_cost(load_of(now, record)) + if is_far { far } else { 0.0 }
     }
@@ -171,19 +171,18 @@
         *size += (bytes - *size) * SIZE_STEP;
     }
 
-    /// Chance that an upstream fails part of its requests: what the node beside it told. Bad news is
-    /// drawn to what is usual as it grows old; good news holds, since a server that turns says so.
+    /// How much likelier than usual an upstream is to fail, by what the node beside it told, which
+    /// counts less as it grows old: a server that turns says so.
     ///
-    /// Failure: servers that nobody has heard of for a while, or that have just joined, are taken for
-    /// as bad as the usual one and get nothing while the others are full. No news counts as good.
-    fn failing_chance(&self, now: Duration, record: &UpstreamRecord) -> f64 {
-        let usual = self.usual_failing();
+    /// Failure: an upstream of which little is known looks somewhat worse than those that answered
+    /// last, and gets nothing for seconds while they are full. One that is no worse than usual in the
+    /// service is as good as any.
+    fn excess_chance(&self, now: Duration, record: &UpstreamRecord) -> f64 {
         let Some((heard, hint)) = record.hint else {
             return 0.0;
         };
-        let told = hint.failing_chance();
         let age = now.saturating_sub(heard).as_secs_f64();
-        told.min(usual) + (told - usual).max(0.0) * (-age / TOLD_FADE).exp()
+        (hint.failing_chance() - self.usual_failing()).max(0.0) * (-age / TOLD_FADE).exp()
     }
 
     /// Share of the service's upstreams that fail at any time.
@@ -195,8 +194,13 @@
     /// Learns the share of failing upstreams from what the nodes beside them told last.
     pub(crate) fn learn_usual(&mut self, now: Duration) {
         let told = self.records.iter().filter(|record| record.hint.is_some());
+        let usual = self.usual_failing();
         let (sum, count) = told.fold((0.0, 0.0), |(sum, count), record| {
-            (sum + self.failing_chance(now, record), count + 1.0)
+            let told = record.hint.map_or(usual, |(_, hint)| hint.failing_chance());
+            (
+                sum + told.min(usual) + self.excess_chance(now, record),
+                count + 1.0,
+            )
         });
         if count > 0.0 {
             self.usual.learn(now, sum / count);
