--- a/crates/engine/src/budgets.rs
+++ b/crates/engine/src/budgets.rs
@@ -128,7 +128,7 @@
     })
 }
 
-fn percent_of(share: f64) -> u32 {
+pub(crate) fn percent_of(share: f64) -> u32 {
     whole_of(share * 100.0)
 }
 
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -98,7 +98,7 @@
     ///
     /// It took the mean worth of ten played days with trouble, in fleets of 85 and 100, from 0.611 to
     /// 0.622 (one play of each day before and after).
-    pub(crate) fn repeat_threshold(&mut self, now: Duration) -> u64 {
+    fn repeat_threshold(&mut self, now: Duration) -> u64 {
         let (drawn, until) = self.threshold;
         if now < until {
             return drawn;
@@ -186,11 +186,17 @@
         if !self.has_fleet_form() {
             return BudgetPart::default();
         }
+        let members = self.roster.member_count();
+        self.slack_part(now, members)
+    }
+
+    /// The part of one of so many holders in what may be repeated besides the share.
+    pub(crate) fn slack_part(&mut self, now: Duration, holders: usize) -> BudgetPart {
         let slack = self.fleet.known.as_ref();
         let slack = slack.map_or(0, |(contract, _)| u64::from(contract.retry_slack));
-        let members = u64::try_from(self.roster.member_count()).unwrap_or(u64::MAX);
+        let holders = u64::try_from(holders).unwrap_or(u64::MAX);
         BudgetPart {
-            slack: slack * WHOLE_REPEAT / members.max(1),
+            slack: slack * WHOLE_REPEAT / holders.max(1),
             threshold: self.fleet.repeat_threshold(now),
         }
     }
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -13,15 +13,13 @@
 use std::time::Duration;
 
 use sycamorelink_core::ServiceName;
-use sycamorelink_limits::{BudgetPart, BudgetSettings, RetryBudget, WHOLE_REPEAT, WorkId};
+use sycamorelink_limits::{BudgetPart, BudgetSettings, RetryBudget, WorkId};
 use sycamorelink_policy::PolicyMechanism;
 
+use crate::budgets::percent_of;
 use crate::node::NodeEngine;
 use crate::request::WorkPhase;
 
-/// Percent in a whole.
-const PERCENT: f64 = 100.0;
-
 impl NodeEngine {
     /// Whether repeats are counted beside the backend servers.
     pub(crate) fn counts_repeats_beside(&self) -> bool {
@@ -85,22 +83,7 @@
     /// This server's part of the bound. What has to be left for a repeat is drawn anew from time to time,
     /// so that parts below one add up to the bound as well.
     fn part_of(&mut self, now: Duration, service: &ServiceName) -> BudgetPart {
-        let slack = self.fleet.known.as_ref();
-        let slack = slack.map_or(0, |(contract, _)| u64::from(contract.retry_slack));
-        let servers = self.roster.upstreams(service.as_str()).len().max(1);
-        let servers = u64::try_from(servers).unwrap_or(u64::MAX);
-        BudgetPart {
-            slack: slack * WHOLE_REPEAT / servers,
-            threshold: self.fleet.repeat_threshold(now),
-        }
+        let servers = self.roster.upstreams(service.as_str()).len();
+        self.slack_part(now, servers)
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a share from 0 to 1"
-)]
-fn percent_of(share: f64) -> u32 {
-    (share * PERCENT).round().clamp(0.0, PERCENT) as u32
-}
