Servers that are whole again are met again: even trials, hung runs counted once, no news to all

Three causes. A server told to be failing was avoided by all callers' nodes, so nobody met it once it was whole. Runs that a fault of two seconds left open counted until their callers' deadline six seconds later, so its odds stayed at their highest. A trial that hung kept the next one away, and one server's news to 96 nodes made all of them avoid it at once. Ruled out: contract, membership and load; the servers that got nothing were ready, idle and reachable. Change: an even part of what may be repeated goes to upstreams that choices avoid (policy::trials); a run that has become late counts once, at that moment, and fades; a hung trial is over, and its caller's node is told so that it sends elsewhere; news of a turn goes to those who have work there only; after a trial that went well the next may follow at once; pauses between trials are under two seconds.

--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -51,7 +51,14 @@
         let tried = state.plan.exclude();
         let tried = tried.as_slice();
         let apart: Vec<UpstreamId> = tried.iter().chain(self.held_off.keys()).copied().collect();
+        let seeks_trial = by_cost
+            && self.settings.policy.is_on(PolicyMechanism::EvenTrials)
+            && is_trial_fit(state)
+            && state.attempts == 0;
         let mut pick = |exclude: &[UpstreamId]| {
+            if seeks_trial && let Some(avoided) = pool.pick_trial(now, exclude, kind) {
+                return Some(avoided);
+            }
             if by_cost {
                 pool.pick_cheapest(now, exclude, kind)
             } else {
@@ -196,7 +203,7 @@
             reply_id_header: state.terms().reply_id_header.clone(),
             max_body: state.rule.max_body,
             reply_buffer: usize::try_from(state.rule.reply_buffer).unwrap_or(usize::MAX),
-            trial_fit: state.rule.repeat == RepeatClass::Idempotent && state.uncertain == 0,
+            trial_fit: is_trial_fit(state),
             insist,
             patience: patience_of(now, state),
             kind: state.rule.work_kind(),
@@ -261,6 +268,11 @@
     }
 }
 
+/// Whether a request may run on an upstream that may be failing: it may be repeated, and has not been.
+fn is_trial_fit(state: &RequestState) -> bool {
+    state.rule.repeat == RepeatClass::Idempotent && state.uncertain == 0
+}
+
 /// How long a request may wait for a slot: a run has to begin well within the objective, or the
 /// slot is better used for one that still can meet it. Customers' contracts leave it to the deadline.
 fn patience_of(now: Duration, state: &RequestState) -> Option<Duration> {
--- a/crates/engine/src/standing.rs
+++ b/crates/engine/src/standing.rs
@@ -24,10 +24,6 @@
 use crate::note::NodeNote;
 use crate::request::WorkPhase;
 
-/// Most nodes that hear news of one server. A turn of a server is some hundred bytes to each of them,
-/// so that one that turns every second stays under 10 KB a second; the others learn it from their
-/// next answer or refusal.
-const NEWS_PEERS: usize = 96;
 /// Change of the chance of failing that is news although nothing turned.
 const NEWS_STEP: f64 = 0.35;
 
@@ -58,9 +54,62 @@
         for slot in slots {
             self.learn_usual(slot);
             self.check_standing(now, slot, None, out);
+            self.settle_late_runs(now, slot, out);
         }
     }
 
+    /// Failure: a request begins on a server that is known to be failing, as a trial or because all
+    /// others are as bad. Nothing turns any more, so no news is told, and the request waits there until
+    /// its deadline. Its caller's node hears when it lasts longer than sound runs do, and sends it
+    /// elsewhere as well.
+    ///
+    /// A trial that has hung is over, so that the next one may follow.
+    fn settle_late_runs(&mut self, now: Duration, slot: u16, out: &mut Vec<NodeCommand>) {
+        let Some(upstream) = self.upstreams.get_mut(&slot) else {
+            return;
+        };
+        let mut callers: BTreeSet<InstanceId> = BTreeSet::new();
+        for run in upstream.breaker.take_late(now) {
+            let Some(state) = self.works.get_mut(&WorkId(run)) else {
+                continue;
+            };
+            if std::mem::take(&mut state.on_trial) {
+                upstream.breaker.trial_ended(now);
+            }
+            if state.offer.trial_fit {
+                callers.insert(state.offer.from);
+            }
+        }
+        let service = upstream.announced.service.clone();
+        let id = upstream_id(self.own.instance, slot);
+        let load = self.load_of(slot);
+        for caller in callers {
+            self.tell_standing(now, caller, id, &service, load, out);
+        }
+    }
+
+    /// Tells one node, which may be this one.
+    fn tell_standing(
+        &mut self,
+        now: Duration,
+        to: InstanceId,
+        id: UpstreamId,
+        service: &ServiceName,
+        load: LoadHint,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        if to.node == self.own.instance.node {
+            self.on_standing(now, id, service, load, out);
+            return;
+        }
+        let message = PeerMessage::Standing {
+            service: service.clone(),
+            id,
+            load,
+        };
+        self.send_peer(to, message, out);
+    }
+
     /// Tells the breaker which share of its service's servers fails.
     fn learn_usual(&mut self, slot: u16) {
         if !self.settings.policy.is_on(PolicyMechanism::UsualShare) {
@@ -136,7 +185,11 @@
         }
     }
 
-    /// Tells the nodes that have work here, then others.
+    /// Tells the nodes that have work here, and only them.
+    ///
+    /// Failure: all callers' nodes hear that a server is suspect, all keep away from it at once, and for
+    /// long after it is whole. The servers that are left are full, and a tenth of the requests is refused.
+    /// A node without work here learns of it from its next refusal, which costs a way there and back.
     fn spread_standing(
         &mut self,
         id: UpstreamId,
@@ -145,24 +198,11 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let own = self.own.instance.node;
-        let waiting = self.works.values().map(|work| work.offer.from);
-        let mut peers: BTreeSet<InstanceId> = waiting.collect();
-        for member in self.roster.members() {
-            if peers.len() >= NEWS_PEERS {
-                break;
-            }
-            if member.standing.is_present() {
-                peers.insert(member.facts.instance);
-            }
-        }
-        peers.retain(|peer| peer.node != own);
+        let here = self.works.values();
+        let here = here.filter(|work| work.offer.slot == id.slot && work.offer.from.node != own);
+        let peers: BTreeSet<InstanceId> = here.map(|work| work.offer.from).collect();
         for peer in peers {
-            let message = PeerMessage::Standing {
-                service: service.clone(),
-                id,
-                load,
-            };
-            self.send_peer(peer, message, out);
+            self.tell_standing(self.now, peer, id, service, load, out);
         }
     }
 
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -242,3 +242,29 @@
     assert!(lost <= 4, "{lost} bookings of 40 were lost");
     assert!(world.runs.values().all(|runs| *runs <= 1));
 }
+
+// The same server goes on hanging. Every other second a price is sent there to find out whether it
+// is whole again. Nothing turns any more, so that no news is told; yet its caller is answered by
+// another server, because the node beside it tells that the run has become late.
+#[test]
+fn prices_that_try_a_server_known_to_hang_are_answered_by_others() {
+    let mut world = SessionWorld::start_fleet(4, contract(1, "/prices/"));
+    for number in 1..=120 {
+        world.call("a", number, "GET", "/prices/a", None);
+        world.run_for(Duration::from_millis(30));
+    }
+    let hangs = BackendScript {
+        time: Duration::from_mins(1),
+        ..BackendScript::default()
+    };
+    world.scripts.insert(node("a"), hangs);
+    for number in 121..=320 {
+        world.call("a", number, "GET", "/prices/a", None);
+        world.run_for(Duration::from_millis(100));
+    }
+    world.run_for(Duration::from_secs(7));
+    let late = lines_with(&world, &["deadline-exceeded"]);
+    assert_eq!(late, 0, "{late} prices were not answered");
+    let repeated = world.runs.values().filter(|runs| **runs > 1).count();
+    assert!(repeated >= 5, "{repeated} were tried there");
+}
--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -81,8 +81,9 @@
 const MOST_DOUBLINGS: u32 = 4;
 /// Longest time between two trials, however long faults last: a trial is one repeatable request that
 /// is sent elsewhere as well once it hangs. Were the pause to grow with the length of faults, faults
-/// would seem as long as the pause.
-const LONGEST_PAUSE: Duration = Duration::from_millis(2500);
+/// would seem as long as the pause. Under two seconds, so that no server that is whole again goes
+/// without a request for longer.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1750);
 /// Longest time between the first trials of a fault.
 const FIRST_PAUSE: Duration = Duration::from_millis(1500);
 
@@ -117,6 +118,8 @@
 struct OpenRun {
     since: Duration,
     kind: u64,
+    /// What it counted for, in nats, when it was taken for one that hung.
+    counted: Option<f64>,
 }
 
 /// Share of the runs of a sound server that end in one way.
@@ -187,24 +190,73 @@
         BreakerVerdict::Trial
     }
 
-    /// Notes that a trial ended, whatever its end.
+    /// Notes that a trial ended, whatever its end. After one that brought a whole reply the next may
+    /// follow at once.
     pub fn trial_ended(&mut self, now: Duration) {
         self.trials = self.trials.saturating_sub(1);
-        self.last_trial = (self.odds > 0.0).then_some(now);
+        self.last_trial = (self.odds > 0.0 && self.served == 0).then_some(now);
+    }
+
+    /// Counts the runs that have hung by now as ended badly, and gives them; none while the server is
+    /// not suspect, since what its runs say still grows.
+    ///
+    /// Failure: a fault of two seconds leaves runs open until the caller's deadline. Counted for as long
+    /// as they stay open, they hold a server off for six seconds and more after it is whole again, half
+    /// of the servers of a service stand idle, and faults seem that long. What a run says is how the
+    /// server was when the run became late; from then on it fades like all else, and trials tell more.
+    pub fn take_late(&mut self, now: Duration) -> Vec<u64> {
+        if !self.is_suspect(now) {
+            return Vec::new();
+        }
+        let open = self.open.iter().filter(|(_, run)| run.counted.is_none());
+        let late = open.filter(|(_, run)| self.age_ratio(now, **run) >= HUNG_RATIO);
+        let late: Vec<u64> = late.map(|(id, _)| *id).collect();
+        for run in &late {
+            self.count_late(now, *run);
+        }
+        late
+    }
+
+    fn count_late(&mut self, now: Duration, id: u64) {
+        let Some(run) = self.open.get(&id).copied() else {
+            return;
+        };
+        self.age(now);
+        let ratio = self.age_ratio(now, run);
+        self.take_ratio(ratio);
+        self.silent.learn(true, chance_of(self.odds));
+        self.follow_fault(now, SampleKind::Silent, ratio);
+        let counted = Some(ratio);
+        self.open.insert(id, OpenRun { counted, ..run });
+    }
+
+    fn take_ratio(&mut self, ratio: f64) {
+        self.odds = (self.odds + ratio).clamp(LOWEST_ODDS, HIGHEST_ODDS);
     }
 
     /// Notes that a run begins; `allowed` is the time that its caller gives.
     pub fn started(&mut self, now: Duration, run: u64, kind: u64, allowed: Duration) {
         self.times.meet(kind, allowed);
-        self.open.insert(run, OpenRun { since: now, kind });
+        let since = now;
+        self.open.insert(
+            run,
+            OpenRun {
+                since,
+                kind,
+                counted: None,
+            },
+        );
     }
 
     /// Notes how a run ended; as refused one that the server itself turned away.
     pub fn ended(&mut self, now: Duration, run: u64, kind: SampleKind) {
         self.age(now);
         let ended = self.open.remove(&run);
+        let counted = ended.and_then(|run| run.counted);
         let ratio = match kind {
-            SampleKind::Served => SERVED_RATIO,
+            // A reply, however late, takes back what the age of its run said.
+            SampleKind::Served => SERVED_RATIO - counted.unwrap_or(0.0),
+            _ if counted.is_some() => 0.0,
             SampleKind::Failed => self.errors.ratio(ERROR_CHANCE),
             SampleKind::Wrong | SampleKind::ConnectionLost | SampleKind::Crashed => {
                 self.losses.ratio(LOSS_CHANCE)
@@ -217,7 +269,7 @@
             // a fifth more of its requests are refused.
             SampleKind::Refused => return,
         };
-        self.odds = (self.odds + ratio).clamp(LOWEST_ODDS, HIGHEST_ODDS);
+        self.take_ratio(ratio);
         // The first bad end of a fault is counted by what it made of the odds: counted as one of a
         // sound server, every fault would make the next one harder to see.
         let failing = chance_of(self.odds);
@@ -297,7 +349,8 @@
 
     /// What the runs that have not ended say, in nats.
     fn open_evidence(&self, now: Duration) -> f64 {
-        let ratios = self.open.values().map(|run| self.age_ratio(now, *run));
+        let open = self.open.values().filter(|run| run.counted.is_none());
+        let ratios = open.map(|run| self.age_ratio(now, *run));
         let (sum, most) = ratios.fold((0.0_f64, 0.0_f64), |(sum, most), ratio| {
             (sum + ratio, most.max(ratio))
         });
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -52,7 +52,7 @@
 const QUEUED_COST: f64 = 0.25;
 /// Costs that differ by less are drawn from at random, so that nodes that know the same do not all
 /// choose the same upstream.
-const COST_JITTER: f64 = 0.03;
+pub(crate) const COST_JITTER: f64 = 0.03;
 /// Time constant, in seconds, with which the chance that was told fades: a server that turns tells
 /// it, so no news means little.
 const TOLD_FADE: f64 = 10.0;
@@ -148,15 +148,24 @@
     /// Expected cost of one attempt, in parts of what its request is worth.
     fn cost_of(&self, now: Duration, place: usize, far: f64) -> f64 {
         let record = &self.records[place];
-        let near = self.near.as_ref();
-        let is_far = near.is_some_and(|near| self.domains[record.domain_index] != *near);
+        let distance = if self.is_far(record) { far } else { 0.0 };
+        self.fault_cost(now, record) + wait_cost(load_of(now, record)) + distance
+    }
+
+    /// Expected cost of an upstream for what is known of its faults.
+    pub(crate) fn fault_cost(&self, now: Duration, record: &UpstreamRecord) -> f64 {
         let fails = self.excess_chance(now, record) * FAILED_SHARE;
-        let shifted = (1.0 - record.weight) * SHIFTED_COST;
-        fails + shifted + wait_cost(load_of(now, record)) + if is_far { far } else { 0.0 }
+        fails + (1.0 - record.weight) * SHIFTED_COST
+    }
+
+    /// Whether an upstream is in another failure domain than the preferred one.
+    pub(crate) fn is_far(&self, record: &UpstreamRecord) -> bool {
+        let near = self.near.as_ref();
+        near.is_some_and(|near| self.domains[record.domain_index] != *near)
     }
 
     /// Cost of an upstream in another failure domain, by what replies to this kind of work bring.
-    fn far_cost(&self, kind: u64) -> f64 {
+    pub(crate) fn far_cost(&self, kind: u64) -> f64 {
         let bytes = self.reply_sizes.get(&kind).copied().unwrap_or(0.0);
         (FAR_COST + bytes / KIB * FAR_KIB_COST).min(FAR_MOST)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 mod run_times;
 mod sampling;
 mod score;
+mod trials;
 mod usual;
 mod weight;
 
--- a/crates/policy/src/mechanisms.rs
+++ b/crates/policy/src/mechanisms.rs
@@ -21,6 +21,8 @@
     ToldStandings,
     /// A caller's node takes the upstream with the least expected cost.
     CostChoice,
+    /// Upstreams that choices keep away from get an even part of what may be repeated.
+    EvenTrials,
     /// Work that must not repeat runs on the least suspect server when all that were asked are.
     LeastSuspect,
     /// Repeatable work whose run stays open on a suspect server is sent elsewhere as well.
--- a/crates/policy/tests/breaker.rs
+++ b/crates/policy/tests/breaker.rs
@@ -262,3 +262,45 @@
     let hung = odds_of_late_run(SampleKind::Cancelled);
     assert!(lost < 2.5 && hung > 3.0, "{lost} and {hung} nats");
 }
+
+/// A server hangs for two seconds and is whole again. The runs that it left open end six seconds later,
+/// with their callers' patience. Each counts once, when it has become late: three whole replies to
+/// trials bring the server back long before.
+#[test]
+fn runs_left_open_by_a_fault_do_not_outlast_it() {
+    let mut breaker = UpstreamBreaker::new(at(0));
+    learn(&mut breaker, 1, 50);
+    for run in 100..108 {
+        breaker.started(at(20_000), run, 1, Duration::from_secs(6));
+    }
+    for millis in (20_000..22_500).step_by(100) {
+        breaker.take_late(at(millis));
+    }
+    assert!(breaker.is_suspect(at(22_500)));
+    for trial in 0..5 {
+        let begun = at(22_500 + trial * 200);
+        breaker.started(begun, 200 + trial, 1, Duration::from_secs(3));
+        breaker.ended(begun + at(100), 200 + trial, SampleKind::Served);
+    }
+    assert!(
+        !breaker.is_suspect(at(23_500)),
+        "{}",
+        breaker.odds(at(23_500))
+    );
+}
+
+/// A run was counted as hung and then answers after all. Its reply takes back what it counted for.
+#[test]
+fn a_reply_takes_back_what_was_counted_for_its_run() {
+    let mut breaker = UpstreamBreaker::new(at(0));
+    learn(&mut breaker, 1, 50);
+    for run in 100..102 {
+        breaker.started(at(20_000), run, 1, Duration::from_secs(6));
+    }
+    assert_eq!(breaker.take_late(at(21_500)).len(), 2);
+    assert!(breaker.take_late(at(21_600)).is_empty());
+    for run in 100..102 {
+        breaker.ended(at(21_700), run, SampleKind::Served);
+    }
+    assert!(!breaker.is_suspect(at(21_700)));
+}
