Calls of repeated runs take from the bound of the service that is called

Nobody charged them: the fixed margin (0.7 of the share, half of the slack) is too small where a service is called by one eight times its size. Ruled out: the caller's address (clients and the server of a machine have the same one: a log of peers, trial), and the call's deadline (it is its own, not its parent's: 367 of 3,962 calls agree), so that nothing in a call tells its run. Change: of the requests to other services that begin beside a server, as many are charged to the called service as of its runs are repeats; a charge may leave the pot in debt, and nothing is refused for it. Test, seen to fail without the charge: calls_of_a_repeated_run_take_from_the_bound_of_what_they_call.

--- a/crates/daemon/src/work/attempt.rs
+++ b/crates/daemon/src/work/attempt.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use sycamorelink_core::{InstanceId, RunState};
-use sycamorelink_engine::{AttemptOrder, NodeEvent, WorkOffer};
+use sycamorelink_engine::{ArrivalKind, AttemptOrder, NodeEvent, WorkOffer};
 use sycamorelink_guard::DispatchTicket;
 use sycamorelink_policy::{LoadHint, SampleKind};
 use sycamorelink_wire::{
@@ -44,8 +44,8 @@
     pub patience: Option<Duration>,
     /// Which kind of work it is, for what is learned of run times.
     pub kind: u64,
-    /// Whether a backend server may have been handed the request before.
-    pub repeat: bool,
+    /// How it counts towards the bound on repeats.
+    pub arrival: ArrivalKind,
 }
 
 /// Carries out one attempt, here or at a peer.
@@ -87,7 +87,7 @@
         insist: order.insist,
         patience: order.patience,
         kind: order.kind,
-        repeat: order.repeat,
+        arrival: order.arrival,
     }
 }
 
@@ -153,7 +153,7 @@
         insist: order.insist,
         patience: order.patience,
         kind: order.kind,
-        repeat: order.repeat,
+        arrival: order.arrival,
     };
     WorkHead {
         attempt: order.attempt,
--- a/crates/daemon/src/work/serving.rs
+++ b/crates/daemon/src/work/serving.rs
@@ -153,7 +153,7 @@
         insist: extras.insist,
         patience: extras.patience,
         kind: extras.kind,
-        repeat: extras.repeat,
+        arrival: extras.arrival,
     }
 }
 
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -12,6 +12,7 @@
 use sycamorelink_policy::LoadHint;
 use sycamorelink_roster::RosterMessage;
 
+use crate::event::ArrivalKind;
 use crate::message::PeerMessage;
 use crate::note::NodeNote;
 
@@ -163,6 +164,6 @@
     pub patience: Option<Duration>,
     /// Which kind of work it is: a hash of its route, for what is learned of run times.
     pub kind: u64,
-    /// Whether a backend server may have been handed the request before.
-    pub repeat: bool,
+    /// How it counts towards the bound on repeats.
+    pub arrival: ArrivalKind,
 }
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -9,6 +9,7 @@
 
 use crate::budgets::budget_entry;
 use crate::command::{AttemptOrder, NodeCommand};
+use crate::event::ArrivalKind;
 use crate::node::{NodeEngine, TimerPurpose};
 use crate::note::NodeNote;
 use crate::request::{OpenAttempt, RequestState};
@@ -207,7 +208,7 @@
             insist,
             patience: patience_of(now, state),
             kind: state.rule.work_kind(),
-            repeat: state.arrivals > 0 || state.open.len() > 1,
+            arrival: arrival_of(state),
         };
         out.push(NodeCommand::Note(NodeNote::AttemptSent {
             label: Arc::clone(&order.label),
@@ -268,6 +269,16 @@
     }
 }
 
+fn arrival_of(state: &RequestState) -> ArrivalKind {
+    if state.arrivals > 0 || state.open.len() > 1 {
+        ArrivalKind::Repeat
+    } else if state.called_by_repeat {
+        ArrivalKind::CalledByRepeat
+    } else {
+        ArrivalKind::First
+    }
+}
+
 /// Whether a request may run on an upstream that may be failing: it may be repeated, and has not been.
 fn is_trial_fit(state: &RequestState) -> bool {
     state.rule.repeat == RepeatClass::Idempotent && state.uncertain == 0
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use sycamorelink_contract::FleetContract;
 use sycamorelink_core::{
     AttemptId, CustomerName, InstanceId, NodeId, RefusalCode, RequestId, RunState, ServiceName,
@@ -238,8 +239,21 @@
     pub patience: Option<Duration>,
     /// Which kind of work it is: a hash of its route, for what is learned of run times.
     pub kind: u64,
-    /// Whether a backend server may have been handed the request before.
-    pub repeat: bool,
+    /// How it counts towards the bound on repeats.
+    pub arrival: ArrivalKind,
+}
+
+/// How an arrival at a backend server counts towards the bound on repeats of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ArrivalKind {
+    /// The first of its request.
+    First,
+    /// The first of a request that comes from a run which was a repeat itself. It takes from the bound,
+    /// and is not refused for it.
+    CalledByRepeat,
+    /// A further one: a backend server may have been handed the request before.
+    Repeat,
 }
 
 /// How work ended at the backend server.
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -15,7 +15,7 @@
 use sycamorelink_policy::{LoadHint, SampleKind, UpstreamSample};
 
 use crate::command::NodeCommand;
-use crate::event::{WorkEnd, WorkOffer, WorkReport};
+use crate::event::{ArrivalKind, WorkEnd, WorkOffer, WorkReport};
 use crate::fencing::FenceMark;
 use crate::node::{HandoverState, LocalUpstream, NodeEngine};
 use crate::request::{WorkPhase, WorkState};
@@ -48,7 +48,7 @@
         let service = state.offer.service.clone();
         let attempt = state.offer.attempt;
         let signature = state.signature();
-        if state.offer.repeat && !self.take_repeat(now, slot) {
+        if state.offer.arrival == ArrivalKind::Repeat && !self.take_repeat(now, slot) {
             let refusal = RequestRefusal::not_run(RefusalCode::RepeatsSpent);
             let load = self.load_of(slot);
             out.push(NodeCommand::RefuseWork {
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -72,7 +72,7 @@
     publisher_asked: bool,
     /// Where the next draw for a split route stands, from 0 to 1.
     draw: f64,
-    random: SmallRng,
+    pub(crate) random: SmallRng,
     /// What has to be left of a retry budget for a repeat, in thousandths of one, and until when
     /// that holds.
     threshold: (u64, Duration),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -46,8 +46,8 @@
 
 pub use command::{AttemptOrder, NodeCommand};
 pub use event::{
-    AttemptReport, CallerRequest, LifeId, LogEntry, LogStream, NodeEvent, UpstreamAnnouncement,
-    UpstreamLife, WorkEnd, WorkOffer, WorkReport,
+    ArrivalKind, AttemptReport, CallerRequest, LifeId, LogEntry, LogStream, NodeEvent,
+    UpstreamAnnouncement, UpstreamLife, WorkEnd, WorkOffer, WorkReport,
 };
 pub use fleet::ContractForm;
 pub use message::{ContractAsk, PeerMessage};
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -3,6 +3,7 @@
 //! ```text
 //! first arrival ──▶ adds its share to the pot of this server
 //! repeat ─────────▶ takes one from it, or is refused as not run ──▶ asked for elsewhere
+//! call of a repeat ▶ adds its share, and takes one that may not be there
 //! ```
 //!
 //! Pattern: a fifth of a service's requests fail at once, and a fifth of them may be repeated. The
@@ -12,11 +13,13 @@
 
 use std::time::Duration;
 
+use rand::Rng;
 use sycamorelink_core::ServiceName;
 use sycamorelink_limits::{BudgetPart, BudgetSettings, RetryBudget, WorkId};
 use sycamorelink_policy::PolicyMechanism;
 
 use crate::budgets::percent_of;
+use crate::event::ArrivalKind;
 use crate::node::NodeEngine;
 use crate::request::WorkPhase;
 
@@ -38,7 +41,9 @@
     /// Gives back what work took that is not handed to its server.
     pub(crate) fn return_repeat(&mut self, now: Duration, work: WorkId) {
         let state = self.works.get(&work);
-        let unused = state.filter(|state| state.offer.repeat && state.phase != WorkPhase::Running);
+        let unused = state.filter(|state| {
+            state.offer.arrival == ArrivalKind::Repeat && state.phase != WorkPhase::Running
+        });
         let Some(slot) = unused.map(|state| state.offer.slot) else {
             return;
         };
@@ -51,15 +56,40 @@
 
     /// Counts the first arrival of a request at a backend server here.
     pub(crate) fn count_arrival(&mut self, now: Duration, work: WorkId) {
-        let state = self.works.get(&work).filter(|state| !state.offer.repeat);
-        let Some(slot) = state.map(|state| state.offer.slot) else {
+        let Some(offer) = self.works.get(&work).map(|state| &state.offer) else {
             return;
         };
-        if self.counts_repeats_beside()
-            && let Some(pot) = self.pot(now, slot)
-        {
-            pot.deposit(now);
+        let (slot, arrival) = (offer.slot, offer.arrival);
+        if arrival == ArrivalKind::Repeat || !self.counts_repeats_beside() {
+            return;
+        }
+        let Some(pot) = self.pot(now, slot) else {
+            return;
+        };
+        pot.deposit(now);
+        if arrival == ArrivalKind::CalledByRepeat {
+            pot.charge(now);
+        }
+    }
+
+    /// Whether a request that begins here is taken for one that a repeated run makes.
+    ///
+    /// Failure: a large service calls a small one. Its repeated runs call once more, those calls count as
+    /// repeats of the small service, and together with that service's own they go beyond its bound. Nothing
+    /// in a call tells which run makes it, so of the requests to other services that begin beside a server
+    /// as many are charged as of its runs are repeats: on average what is owed, and rather more, since
+    /// callers of this node are among them.
+    pub(crate) fn draw_called_by_repeat(&mut self, service: &ServiceName) -> bool {
+        if !self.counts_repeats_beside() || self.runs(service) {
+            return false;
         }
+        let running = self.works.values();
+        let running = running.filter(|state| state.phase == WorkPhase::Running);
+        let (runs, repeats) = running.fold((0_u32, 0_u32), |(runs, repeats), state| {
+            let repeat = state.offer.arrival == ArrivalKind::Repeat;
+            (runs + 1, repeats + u32::from(repeat))
+        });
+        repeats > 0 && self.fleet.random.random_ratio(repeats, runs)
     }
 
     /// The pot of a backend server, with its part of what the service may be repeated besides.
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -82,6 +82,8 @@
     pub uncertain: u16,
     /// Attempts that ended and may have reached a backend server, which may have turned them away.
     pub arrivals: u16,
+    /// Whether it is taken for a request of a run that was a repeat itself.
+    pub called_by_repeat: bool,
     /// Repeats that a node beside a backend server refused because of the bound on them.
     pub repeats_refused: u16,
     /// The last failed attempt, for the final answer.
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -7,7 +7,8 @@
     DetectionLeaning, FleetContract, FleetRoute, RepeatClass, RetryBudget, RoutePart,
 };
 use sycamorelink_core::{RequestId, ServiceName};
-use sycamorelink_engine::NodeEvent;
+use sycamorelink_engine::{NodeEvent, UpstreamAnnouncement};
+use sycamorelink_policy::UpstreamPhase;
 
 use crate::world::{BackendScript, SessionWorld, name_of, node};
 
@@ -268,3 +269,69 @@
     let repeated = world.runs.values().filter(|runs| **runs > 1).count();
     assert!(repeated >= 5, "{repeated} were tried there");
 }
+
+/// A contract with a second service, `files`, under which each may be repeated this often in ten seconds.
+fn with_files(repeats: u32) -> FleetContract {
+    let files = ServiceName::new("files");
+    let mut contract = repeating(repeats);
+    let mut route = contract.routes[1].clone();
+    route.name = Arc::from("files");
+    route.prefix = Arc::from("/files/");
+    route.parts[0].service = files.clone();
+    contract.routes.push(route);
+    contract.services.push(files);
+    contract
+}
+
+/// The backend server beside a node is one of `files` from now on.
+fn serve_files(world: &mut SessionWorld, name: &str) {
+    let gone = NodeEvent::UpstreamWithdrawn {
+        slot: 0,
+        life: None,
+    };
+    world.tell(name, gone);
+    let announced = UpstreamAnnouncement {
+        slot: 0,
+        service: ServiceName::new("files"),
+        slots: 5,
+        phase: UpstreamPhase::Ready,
+        life: None,
+        warm_up: None,
+    };
+    world.tell(name, NodeEvent::UpstreamAnnounced(announced));
+}
+
+/// How often a look into the files runs when they fail, after a price that ran at `b` made eight calls to
+/// them. The price is a repeat if the server beside `a`, which it is asked of, fails it first.
+fn runs_after_calls(price_is_repeated: bool) -> u32 {
+    let mut world = SessionWorld::start_fleet(4, with_files(12));
+    serve_files(&mut world, "c");
+    serve_files(&mut world, "d");
+    world.run_for(REST);
+    let slow = BackendScript {
+        time: Duration::from_secs(4),
+        ..BackendScript::default()
+    };
+    world.scripts.insert(node("b"), slow);
+    let first = if price_is_repeated { "a" } else { "b" };
+    fail_at(&mut world, &["a"]);
+    world.call(first, 1, "GET", "/prices/a", None);
+    world.run_for(Duration::from_millis(300));
+    for number in 2..=25 {
+        world.call("b", number, "GET", "/files/a", None);
+        world.run_for(Duration::from_millis(100));
+    }
+    fail_at(&mut world, &["c", "d"]);
+    world.call("a", 100, "GET", "/files/a", None);
+    world.run_for(Duration::from_secs(2));
+    world.runs.get(&RequestId(100)).copied().unwrap_or_default()
+}
+
+// A price fails, is repeated elsewhere, and its second run calls another service. Those calls count as
+// repeats of that service, whose bound they use up: what fails there afterwards is not repeated. The calls of
+// a first run cost it nothing.
+#[test]
+fn calls_of_a_repeated_run_take_from_the_bound_of_what_they_call() {
+    assert_eq!(runs_after_calls(true), 1);
+    assert_eq!(runs_after_calls(false), 2);
+}
--- a/crates/engine/tests/session/world/work.rs
+++ b/crates/engine/tests/session/world/work.rs
@@ -90,7 +90,7 @@
             insist: order.insist,
             patience: order.patience,
             kind: order.kind,
-            repeat: order.repeat,
+            arrival: order.arrival,
         };
         let delay = if executor == ingress {
             Duration::ZERO
--- a/crates/limits/src/retry_budget.rs
+++ b/crates/limits/src/retry_budget.rs
@@ -142,6 +142,13 @@
         true
     }
 
+    /// Takes one repeat that is made whether or not one is left. What is owed is missing until the window
+    /// has passed.
+    pub fn charge(&mut self, now: Duration) {
+        let slot = self.advance(now);
+        self.withdrawals[slot] += TOKEN;
+    }
+
     /// Gives back a repeat that was taken and not made.
     pub fn refund(&mut self, now: Duration) {
         let slot = self.advance(now);
--- a/crates/limits/tests/retry_budget.rs
+++ b/crates/limits/tests/retry_budget.rs
@@ -90,3 +90,16 @@
     assert!(!budget.withdraw(at(9_900)));
     assert!(budget.withdraw(at(10_500)));
 }
+
+// A repeat is made that cannot be refused any more. What it takes is missing until the window has passed.
+#[test]
+fn what_is_charged_beyond_the_budget_is_owed() {
+    let mut budget = RetryBudget::new(&settings(100, 0));
+    budget.charge(at(0));
+    budget.charge(at(0));
+    budget.deposit(at(100));
+    budget.deposit(at(100));
+    assert!(!budget.withdraw(at(200)));
+    budget.deposit(at(300));
+    assert!(budget.withdraw(at(400)));
+}
