--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -272,10 +272,8 @@
 fn arrival_of(state: &RequestState) -> ArrivalKind {
     if state.arrivals > 0 || state.open.len() > 1 {
         ArrivalKind::Repeat
-    } else if state.called_by_repeat {
-        ArrivalKind::CalledByRepeat
     } else {
-        ArrivalKind::First
+        state.first_arrival
     }
 }
 
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -96,7 +96,7 @@
             .time_left
             .map_or(rule.deadline, |left| left.min(rule.deadline));
         let idempotent = rule.repeat == RepeatClass::Idempotent;
-        let called_by_repeat = self.draw_called_by_repeat(&rule.service);
+        let first_arrival = self.first_arrival(&rule.service);
         let signature = CrashSignature::of(
             rule.terms.customer.as_str(),
             &format!("{} {}", caller.method, caller.target),
@@ -121,7 +121,7 @@
             insisted: false,
             uncertain: 0,
             arrivals: 0,
-            called_by_repeat,
+            first_arrival,
             repeats_refused: 0,
             last: None,
             last_at: None,
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -72,16 +72,17 @@
         }
     }
 
-    /// Whether a request that begins here is taken for one that a repeated run makes.
+    /// How the first arrival of a request that begins here counts: some are taken for those that
+    /// repeated runs make.
     ///
     /// Failure: a large service calls a small one. Its repeated runs call once more, those calls count as
     /// repeats of the small service, and together with that service's own they go beyond its bound. Nothing
     /// in a call tells which run makes it, so of the requests to other services that begin beside a server
     /// as many are charged as of its runs are repeats: on average what is owed, and rather more, since
     /// callers of this node are among them.
-    pub(crate) fn draw_called_by_repeat(&mut self, service: &ServiceName) -> bool {
+    pub(crate) fn first_arrival(&mut self, service: &ServiceName) -> ArrivalKind {
         if !self.counts_repeats_beside() || self.runs(service) {
-            return false;
+            return ArrivalKind::First;
         }
         let running = self.works.values();
         let running = running.filter(|state| state.phase == WorkPhase::Running);
@@ -89,7 +90,11 @@
             let repeat = state.offer.arrival == ArrivalKind::Repeat;
             (runs + 1, repeats + u32::from(repeat))
         });
-        repeats > 0 && self.fleet.random.random_ratio(repeats, runs)
+        if repeats > 0 && self.fleet.random.random_ratio(repeats, runs) {
+            ArrivalKind::CalledByRepeat
+        } else {
+            ArrivalKind::First
+        }
     }
 
     /// The pot of a backend server, with its part of what the service may be repeated besides.
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -9,7 +9,7 @@
 use sycamorelink_limits::{CrashSignature, CustomerIndex};
 use sycamorelink_policy::RetryPlan;
 
-use crate::event::{AttemptReport, CallerRequest, LifeId, WorkOffer};
+use crate::event::{ArrivalKind, AttemptReport, CallerRequest, LifeId, WorkOffer};
 
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,8 +82,8 @@
     pub uncertain: u16,
     /// Attempts that ended and may have reached a backend server, which may have turned them away.
     pub arrivals: u16,
-    /// Whether it is taken for a request of a run that was a repeat itself.
-    pub called_by_repeat: bool,
+    /// How its first arrival at a backend server counts.
+    pub first_arrival: ArrivalKind,
     /// Repeats that a node beside a backend server refused because of the bound on them.
     pub repeats_refused: u16,
     /// The last failed attempt, for the final answer.
