A few nodes of each failure domain follow the store; the others hear of contracts from them

Ruled out: longer waits; 30 s is the longest that the store allows. Change: nine nodes of the fleet, two of each failure domain at least, follow the store (engine::following); the others take a version that they hear of from a peer, as nodes do that the store turns away, and look themselves after a second without it, or when they know nobody. In a fleet that starts for the first time the others ask only after three seconds. Tests: a_few_nodes_of_each_failure_domain_follow_the_source, a_version_that_no_peer_gives_is_looked_for_at_the_source.

--- a/crates/daemon/src/log_thread.rs
+++ b/crates/daemon/src/log_thread.rs
@@ -48,6 +48,11 @@
     },
     /// Follow the contract stream again from its oldest record.
     Reread,
+    /// Begin to follow the source of the fleet contract, or cease to.
+    Follow {
+        /// Whether to follow it.
+        follow: bool,
+    },
 }
 
 /// What the log thread is started with.
@@ -222,6 +227,9 @@
             }
             LogOrder::ReadBack { offset } => read_back(parts, offset).await,
             LogOrder::Reread => rereads.send_modify(|count| *count += 1),
+            LogOrder::Follow { follow } => {
+                tracing::debug!(follow, "the log of contracts has no source to follow");
+            }
         }
     }
 }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -248,6 +248,7 @@
             }
             NodeCommand::ReadContract { offset } => self.order(LogOrder::ReadBack { offset }),
             NodeCommand::RereadContracts => self.order(LogOrder::Reread),
+            NodeCommand::FollowSource { follow } => self.order(LogOrder::Follow { follow }),
             NodeCommand::ContractsChanged => self.notes.refresh_objectives(self.engine.table()),
             NodeCommand::Drained => self.ports.drained.store(true, Ordering::Release),
             NodeCommand::Note(note) => {
--- a/crates/daemon/src/source_thread.rs
+++ b/crates/daemon/src/source_thread.rs
@@ -16,7 +16,7 @@
 use sycamorelink_engine::NodeEvent;
 use sycamorelink_log::{BackoffSettings, LogError, OutageBackoff};
 use sycamorelink_telemetry::{EventCode, EventFields};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
 use crate::border::{ContractSource, MemberDirectory, MemberEntry, SourceNews};
@@ -101,9 +101,10 @@
             );
             tokio::task::spawn_local(meeting);
         }
+        let (follow, following) = watch::channel(false);
         tokio::select! {
-            () = follow(parts) => {}
-            () = ended(&mut orders) => {}
+            () = follow_source(parts, following) => {}
+            () = take_orders(&mut orders, &follow) => {}
         }
         if let Some(members) = members {
             withdraw(members.as_ref(), &name).await;
@@ -121,27 +122,42 @@
     }
 }
 
-async fn ended(orders: &mut mpsc::Receiver<LogOrder>) {
+/// Takes orders until their sender is dropped.
+async fn take_orders(orders: &mut mpsc::Receiver<LogOrder>, follow: &watch::Sender<bool>) {
     while let Some(order) = orders.recv().await {
-        tracing::debug!(?order, "a log order came under a fleet contract");
+        match order {
+            LogOrder::Follow { follow: begin } => {
+                tracing::debug!(begin, "whether this node follows the source of contracts");
+                follow.send_replace(begin);
+            }
+            order => tracing::debug!(?order, "a log order came under a fleet contract"),
+        }
     }
 }
 
-async fn follow(mut parts: SourceParts) {
+/// Looks at the source while this node is to follow it.
+async fn follow_source(mut parts: SourceParts, mut following: watch::Receiver<bool>) {
     let mut backoff = OutageBackoff::new(SOURCE_BACKOFF, parts.seed);
-    loop {
-        match parts.contracts.next().await {
-            Ok(news) => {
-                backoff.succeed();
-                tell(&parts.inbox, NodeEvent::LogReachable(true)).await;
-                take_news(&parts, news).await;
-            }
-            Err(error) => {
-                tell(&parts.inbox, NodeEvent::LogReachable(false)).await;
-                let pause = pause_after(&error, backoff.fail(parts.clock.now()));
-                tracing::debug!(%error, ?pause, "the source of contracts did not answer");
-                tokio::time::sleep(pause).await;
-            }
+    while following.wait_for(|follow| *follow).await.is_ok() {
+        tokio::select! {
+            () = look(&mut parts, &mut backoff) => {}
+            _ = following.wait_for(|follow| !*follow) => {}
+        }
+    }
+}
+
+async fn look(parts: &mut SourceParts, backoff: &mut OutageBackoff) {
+    match parts.contracts.next().await {
+        Ok(news) => {
+            backoff.succeed();
+            tell(&parts.inbox, NodeEvent::LogReachable(true)).await;
+            take_news(parts, news).await;
+        }
+        Err(error) => {
+            tell(&parts.inbox, NodeEvent::LogReachable(false)).await;
+            let pause = pause_after(&error, backoff.fail(parts.clock.now()));
+            tracing::debug!(%error, ?pause, "the source of contracts did not answer");
+            tokio::time::sleep(pause).await;
         }
     }
 }
--- a/crates/daemon/src/starting.rs
+++ b/crates/daemon/src/starting.rs
@@ -88,6 +88,7 @@
 
 pub fn engine_settings(settings: &DaemonSettings) -> anyhow::Result<EngineSettings> {
     let mut parts = EngineSettings {
+        first_start: settings.first_start,
         leave_serving: settings.drain.serving,
         roster: section("roster", &settings.roster)?,
         guard: section("guard", &settings.guard)?,
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -116,6 +116,11 @@
     },
     /// Read the contract stream again from its oldest record.
     RereadContracts,
+    /// Begin to follow the source of the fleet contract, or cease to.
+    FollowSource {
+        /// Whether to follow it.
+        follow: bool,
+    },
     /// The compiled contracts changed; publish the new table to the request path.
     ContractsChanged,
     /// Everything this node held is handed over or finished.
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -113,6 +113,12 @@
         drawn
     }
 
+    /// Whether a newer version than the one in force was heard of so long ago.
+    pub(crate) fn is_overdue(&self, now: Duration, patience: Duration) -> bool {
+        let newer = self.head.filter(|(version, ..)| *version > self.version());
+        newer.is_some_and(|(.., heard)| now >= heard + patience)
+    }
+
     /// The version in force, 0 for none.
     pub(crate) fn version(&self) -> u64 {
         self.known.as_ref().map_or(0, |(_, table)| table.version())
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -29,6 +29,7 @@
 mod executor;
 mod fencing;
 mod fleet;
+mod following;
 mod guarding;
 mod holding;
 mod ingress;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -125,6 +125,8 @@
     pub(crate) timers: BTreeSet<(Duration, TimerPurpose, RequestId)>,
     pub(crate) next_tick: Duration,
     pub(crate) next_pull: Duration,
+    /// Whether the daemon was told to follow the source of the fleet contract.
+    pub(crate) following: bool,
     pub(crate) log_reachable: bool,
     pub(crate) log_oldest: u64,
     pub(crate) contract_head: u64,
@@ -194,6 +196,7 @@
             timers: BTreeSet::new(),
             next_tick: Duration::ZERO,
             next_pull: Duration::ZERO,
+            following: false,
             log_reachable: false,
             log_oldest: 0,
             contract_head: 0,
@@ -366,6 +369,7 @@
         self.forget_fences(now);
         self.lapse_upstreams(now, out);
         if self.has_fleet_form() {
+            self.choose_follower(now, out);
             self.pull_fleet(now, out);
         } else {
             self.keep_contracts(now, out);
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -23,6 +23,8 @@
 pub struct EngineSettings {
     /// Where the contracts come from.
     pub contracts: ContractForm,
+    /// Whether the whole fleet starts for the first time, so that nobody calls yet.
+    pub first_start: bool,
     /// How long a leaving node still takes callers' requests; after it they are refused.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "leave_serving_ms")]
@@ -56,6 +58,7 @@
     fn default() -> Self {
         Self {
             contracts: ContractForm::default(),
+            first_start: false,
             leave_serving: LEAVE_SERVING,
             roster: RosterSettings::default(),
             guard: GuardSettings::default(),
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -335,3 +335,74 @@
     assert_eq!(runs_after_calls(true), 1);
     assert_eq!(runs_after_calls(false), 2);
 }
+
+/// The failure domain of a node's name among three.
+fn domain_among_three(name: &str) -> u8 {
+    (name.as_bytes()[0] - b'a') % 3
+}
+
+/// Followers in each of three failure domains.
+fn followers_by_domain(world: &SessionWorld) -> [usize; 3] {
+    let mut counts = [0; 3];
+    for number in 0..24 {
+        let name = name_of(number);
+        let follows = world.followers.contains(&node(&name));
+        counts[usize::from(domain_among_three(&name))] += usize::from(follows);
+    }
+    counts
+}
+
+// Twenty-four nodes wait for contracts at a service of which each call has a price. Three of each
+// failure domain follow it. All three of one domain end, and others take their place; a contract
+// that only the followers hear of is in force everywhere.
+#[test]
+fn a_few_nodes_of_each_failure_domain_follow_the_source() {
+    let mut world = SessionWorld::start_fleet_in(3, 24, contract(3, "/prices/"));
+    world.run_for(REST);
+    assert_eq!(followers_by_domain(&world), [3, 3, 3]);
+    let ended: Vec<String> = (0..24)
+        .map(name_of)
+        .filter(|name| domain_among_three(name) == 0 && world.followers.contains(&node(name)))
+        .collect();
+    for name in &ended {
+        world.kill(name);
+    }
+    world.run_for(Duration::from_secs(20));
+    assert_eq!(followers_by_domain(&world), [3, 3, 3]);
+    let newer = Arc::new(contract(7, "/rates/"));
+    for number in 0..24 {
+        let name = name_of(number);
+        if world.followers.contains(&node(&name)) {
+            world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
+        }
+    }
+    world.run_for(Duration::from_secs(2));
+    let engines = world.engines();
+    assert!(engines.values().all(|engine| engine.fleet_version() == 7));
+}
+
+// The nodes hear of a version that nobody gives them. After a second they look at the source themselves.
+#[test]
+fn a_version_that_no_peer_gives_is_looked_for_at_the_source() {
+    let mut world = SessionWorld::start_fleet_in(1, 14, contract(3, "/prices/"));
+    world.run_for(REST);
+    let before = world.followers.len();
+    world.tell(
+        "b",
+        NodeEvent::FleetContract(Arc::new(contract(7, "/rates/"))),
+    );
+    world.run_for(Duration::from_millis(100));
+    world.kill("b");
+    for number in (0..14).filter(|number| *number != 1) {
+        for other in 0..14 {
+            let way = (node(&name_of(number)), node(&name_of(other)));
+            world.wire.cuts.insert(way);
+        }
+    }
+    world.run_for(Duration::from_secs(2));
+    assert!(
+        world.followers.len() > before,
+        "{} follow, {before} before",
+        world.followers.len()
+    );
+}
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -114,6 +114,10 @@
     pub runs: BTreeMap<RequestId, u32>,
     /// What is wrong between the nodes.
     pub wire: WireFaults,
+    /// Nodes that follow the source of the fleet contract.
+    pub followers: BTreeSet<NodeId>,
+    /// Failure domains that nodes are spread over; none puts each into one of its own.
+    domains: Option<u8>,
     /// The fleet contract that nodes start with; none when customers' contracts are in the log.
     fleet: Option<Arc<FleetContract>>,
     /// Nodes that stand still, with the events that wait for them.
@@ -149,15 +153,20 @@
     /// Nodes `a`, `b`, .. in one failure domain each, with a backend server of the service
     /// `orders` beside each, the sample contract in force, and the log up.
     pub fn start(count: u8) -> Self {
-        Self::start_with(count, None)
+        Self::start_with(count, None, None)
     }
 
     /// The same under a fleet contract.
     pub fn start_fleet(count: u8, contract: FleetContract) -> Self {
-        Self::start_with(count, Some(Arc::new(contract)))
+        Self::start_with(count, Some(Arc::new(contract)), None)
     }
 
-    fn start_with(count: u8, fleet: Option<Arc<FleetContract>>) -> Self {
+    /// The same with the nodes spread over so many failure domains.
+    pub fn start_fleet_in(domains: u8, count: u8, contract: FleetContract) -> Self {
+        Self::start_with(count, Some(Arc::new(contract)), Some(domains))
+    }
+
+    fn start_with(count: u8, fleet: Option<Arc<FleetContract>>, domains: Option<u8>) -> Self {
         let mut world = Self {
             now: Duration::ZERO,
             sequence: 0,
@@ -172,6 +181,8 @@
             scripts: BTreeMap::new(),
             runs: BTreeMap::new(),
             wire: WireFaults::default(),
+            followers: BTreeSet::new(),
+            domains: None,
             fleet: None,
             frozen: BTreeMap::new(),
             born: BTreeMap::new(),
@@ -186,6 +197,7 @@
             trace: Vec::new(),
         };
         world.fleet = fleet;
+        world.domains = domains;
         world.append(LogStream::Contracts, sample_change());
         for number in 0..count {
             world.add_node(number, 1);
@@ -206,7 +218,7 @@
                 incarnation: NodeIncarnation(incarnation),
             },
             name: Arc::from(name.as_str()),
-            domain: format!("domain-{name}").as_str().into(),
+            domain: self.domain_of(number, &name).as_str().into(),
             region: Arc::from("r1"),
             peer_address: ([127, 0, 0, 1], 8000 + u16::from(number)).into(),
             gossip_address: gossip,
@@ -237,6 +249,13 @@
         self.announce(id, UpstreamPhase::Ready);
     }
 
+    fn domain_of(&self, number: u8, name: &str) -> String {
+        match self.domains {
+            Some(domains) => format!("domain-{}", number % domains),
+            None => format!("domain-{name}"),
+        }
+    }
+
     fn read_logs(&mut self, id: NodeId) {
         for stream in [LogStream::Contracts, LogStream::Guard] {
             self.read_log(id, stream);
@@ -461,6 +480,12 @@
                     self.schedule(delay, Happening::Event(receiver, Box::new(event)));
                 }
             }
+            NodeCommand::FollowSource { follow: true } => {
+                self.followers.insert(id);
+            }
+            NodeCommand::FollowSource { follow: false } => {
+                self.followers.remove(&id);
+            }
             NodeCommand::AppendGuard { bytes } => self.append(LogStream::Guard, bytes),
             NodeCommand::AppendContract { bytes } => self.append(LogStream::Contracts, bytes),
             NodeCommand::RereadContracts => {
--- a/crates/engine/tests/session/world/acts.rs
+++ b/crates/engine/tests/session/world/acts.rs
@@ -28,6 +28,7 @@
         self.queue
             .retain(|_, waiting| !matches!(waiting, Happening::Event(to, _) if *to == id));
         self.audit.ended(id);
+        self.followers.remove(&id);
         let works = std::mem::take(&mut self.works);
         let (lost, kept) = works.into_iter().partition(|((at, _), _)| *at == id);
         self.works = kept;
