--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -70,6 +70,8 @@
     head: Option<(u64, NodeId, Duration)>,
     /// Whether the publisher of that version was asked for it.
     publisher_asked: bool,
+    /// Whether the daemon was told to follow the source.
+    pub(crate) following: bool,
     /// Where the next draw for a split route stands, from 0 to 1.
     draw: f64,
     pub(crate) random: SmallRng,
@@ -87,6 +89,7 @@
             known: None,
             head: None,
             publisher_asked: false,
+            following: false,
             draw: random.random(),
             threshold: (WHOLE_REPEAT, Duration::ZERO),
             random,
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -39,8 +39,8 @@
     /// Tells the daemon when this node begins or ceases to follow the source.
     pub(crate) fn choose_follower(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
         let follow = self.follows_source(now);
-        if follow != self.following {
-            self.following = follow;
+        if follow != self.fleet.following {
+            self.fleet.following = follow;
             out.push(NodeCommand::FollowSource { follow });
         }
     }
@@ -57,13 +57,13 @@
             return true;
         }
         if self.roster.member_count() < 2 {
-            return self.following || now >= ALONE_AFTER;
+            return self.fleet.following || now >= ALONE_AFTER;
         }
         if self.fleet.is_overdue(now, OVERDUE_AFTER) {
             return true;
         }
         let joined = now >= self.roster_changed_at + JOINED_FOR;
-        if joined || self.following {
+        if joined || self.fleet.following {
             self.is_follower()
         } else {
             false
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -125,8 +125,6 @@
     pub(crate) timers: BTreeSet<(Duration, TimerPurpose, RequestId)>,
     pub(crate) next_tick: Duration,
     pub(crate) next_pull: Duration,
-    /// Whether the daemon was told to follow the source of the fleet contract.
-    pub(crate) following: bool,
     pub(crate) log_reachable: bool,
     pub(crate) log_oldest: u64,
     pub(crate) contract_head: u64,
@@ -196,7 +194,6 @@
             timers: BTreeSet::new(),
             next_tick: Duration::ZERO,
             next_pull: Duration::ZERO,
-            following: false,
             log_reachable: false,
             log_oldest: 0,
             contract_head: 0,
