Trials by their start, no scores among callers under a fleet contract, contracts told within a failure domain

(2) Callers' scores cost messages to 32 peers each. Change: the pause between trials runs from their start, two at a time; while under a third of the upstreams is avoided a second one is drawn; callers' scores are not told under a fleet contract; a follower tells the nodes of its failure domain of a version, they ask one of those that told; one follower for 16 nodes at least. Tests: no_node_is_asked_for_a_contract_by_all, a_contract_does_not_wait_for_gossip.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -33,6 +33,12 @@
 /// How long a rumour of a newer version may be ahead of the source before a peer is asked: a
 /// source in health answers its waiting readers within some ten milliseconds.
 const SOURCE_LEAD: Duration = Duration::from_millis(200);
+/// Pause before another peer is asked: a contract of 100 KB takes half of it over the slowest links of the
+/// users' instances while a few others are sent it as well. Asked for sooner, it comes twice, and the
+/// links of those that have it are full.
+const PULL_PAUSE: Duration = Duration::from_millis(400);
+/// Which peer that is asked is the one that told of the version.
+const TELLER_ASKED: u32 = 1;
 /// First ejection under a fleet contract: the breaker beside each server answers within a fault, and
 /// callers' scores, which are slower, should not keep capacity away after it.
 const FLEET_EJECTION: Duration = Duration::from_secs(3);
@@ -68,8 +74,10 @@
     pub(crate) known: Option<(Arc<FleetContract>, Arc<FleetTable>)>,
     /// The newest version heard of, its publisher, and when it was heard.
     head: Option<(u64, NodeId, Duration)>,
-    /// Whether the publisher of that version was asked for it.
-    publisher_asked: bool,
+    /// How many peers were asked for that version.
+    asked: u32,
+    /// How many followers told that they have it.
+    tellers: u32,
     /// Whether the daemon was told to follow the source.
     pub(crate) following: bool,
     /// Where the next draw for a split route stands, from 0 to 1.
@@ -88,7 +96,8 @@
         Self {
             known: None,
             head: None,
-            publisher_asked: false,
+            asked: 0,
+            tellers: 0,
             following: false,
             draw: random.random(),
             threshold: (WHOLE_REPEAT, Duration::ZERO),
@@ -181,6 +190,7 @@
             body: Vec::new(),
         };
         self.tell_roster(now, event, out);
+        self.tell_head(version, out);
     }
 
     fn refresh_fleet_pools(&mut self) {
@@ -229,7 +239,31 @@
         let known = self.fleet.head.map_or(0, |(version, ..)| version);
         if version > known.max(self.fleet.version()) {
             self.fleet.head = Some((version, origin, now));
-            self.fleet.publisher_asked = false;
+            self.fleet.asked = 0;
+            self.fleet.tellers = 0;
+        }
+    }
+
+    /// A follower of the source has this version: one of those that tell so is asked for it at the next
+    /// tick, drawn evenly, so that not all nodes ask the one that was first.
+    pub(crate) fn on_head_told(&mut self, now: Duration, from: InstanceId, version: u64) {
+        let known = self.fleet.head.map_or(0, |(version, ..)| version);
+        let newest = known.max(self.fleet.version());
+        if self.fleet.following || version < newest || version == self.fleet.version() {
+            return;
+        }
+        if version > newest {
+            self.fleet.tellers = 0;
+        }
+        self.fleet.tellers += 1;
+        let tellers = self.fleet.tellers;
+        if self.fleet.random.random_ratio(1, tellers) {
+            let heard = now.saturating_sub(SOURCE_LEAD);
+            self.fleet.head = Some((version, from.node, heard));
+        }
+        if tellers == 1 {
+            self.fleet.asked = TELLER_ASKED;
+            self.next_pull = now;
         }
     }
 
@@ -245,11 +279,15 @@
                 if now < heard + SOURCE_LEAD {
                     return;
                 }
-                // Failure: the publisher can be heard of but not reached, and is asked again and
-                // again while every other peer has the contract. It is asked once, then others.
-                let first = !self.fleet.publisher_asked;
-                self.fleet.publisher_asked = true;
-                first.then_some(origin)
+                let asked = self.fleet.asked;
+                self.fleet.asked = asked.saturating_add(1);
+                match asked {
+                    // Failure: the publisher can be heard of but not reached, and is asked again and
+                    // again while every other peer has the contract. It is asked once, then others.
+                    TELLER_ASKED => Some(origin),
+                    asked if asked % 2 == 0 => self.near_follower(),
+                    _ => None,
+                }
             }
             _ if own == 0 => None,
             _ => return,
@@ -257,14 +295,14 @@
         let Some(peer) = self.pull_peer(asked) else {
             return;
         };
-        self.next_pull = now + SOURCE_LEAD;
+        self.next_pull = now + PULL_PAUSE;
         let ask = ContractAsk::Fleet { newer_than: own };
         self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
     }
 
-    /// The publisher if it is to be asked and known, else another peer at each try.
-    fn pull_peer(&mut self, publisher: Option<NodeId>) -> Option<InstanceId> {
-        let known = publisher.and_then(|node| self.instance_of(node));
+    /// This peer if it is known, else another one at each try.
+    fn pull_peer(&mut self, peer: Option<NodeId>) -> Option<InstanceId> {
+        let known = peer.and_then(|node| self.instance_of(node));
         known.or_else(|| self.pull_source())
     }
 
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -14,7 +14,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rand::Rng;
+use sycamorelink_core::{InstanceId, NodeId};
+
 use crate::command::NodeCommand;
+use crate::message::PeerMessage;
 use crate::node::NodeEngine;
 
 /// Nodes of the whole fleet that follow the source, spread over the failure domains. Where a third of all
@@ -23,6 +27,9 @@
 /// The same of each failure domain at least, so that one that is cut off from the others is served while
 /// one of its nodes restarts.
 const DOMAIN_FOLLOWERS: usize = 2;
+/// Nodes of a failure domain to one follower at most: as many as it can send a contract of 100 KB within a
+/// second over a link of 20 Mbit/s.
+const FOLLOWED_MOST: usize = 16;
 /// How long the membership must be unchanged before a node that starts trusts it to tell who follows:
 /// some rounds of gossip.
 const JOINED_FOR: Duration = Duration::from_millis(300);
@@ -70,19 +77,62 @@
         }
     }
 
-    /// Whether this node is among the first of its failure domain. Nodes are in the order of their ids,
-    /// which are hashes of their names, so that all agree on it and it stays over restarts.
     fn is_follower(&self) -> bool {
-        let own = self.own.instance.node;
+        self.near_followers().contains(&self.own.instance.node)
+    }
+
+    /// The followers of this node's failure domain: the first of its nodes, in the order of their ids.
+    /// These are hashes of their names, so that all nodes agree on them and they stay over restarts.
+    fn near_followers(&self) -> Vec<NodeId> {
         let members = self.roster.members();
         let present = members.iter().filter(|member| member.standing.is_present());
         let mut domains = BTreeSet::from([&self.own.domain]);
-        let mut before = 0;
+        let mut near = BTreeSet::from([self.own.instance.node]);
         for member in present {
             domains.insert(&member.facts.domain);
-            let near = member.facts.domain == self.own.domain;
-            before += usize::from(near && member.facts.instance.node < own);
+            if member.facts.domain == self.own.domain {
+                near.insert(member.facts.instance.node);
+            }
+        }
+        let count = FOLLOWERS
+            .div_ceil(domains.len())
+            .max(near.len().div_ceil(FOLLOWED_MOST))
+            .max(DOMAIN_FOLLOWERS);
+        near.into_iter().take(count).collect()
+    }
+
+    /// A follower tells the nodes of its failure domain that it has a version.
+    ///
+    /// Failure: while a part of a large fleet restarts, its gossip is full of that, and some nodes hear of a
+    /// new contract only after seconds. Within a failure domain a word to each node costs some bytes over
+    /// the shortest links, and all know within one hop.
+    pub(crate) fn tell_head(&mut self, version: u64, out: &mut Vec<NodeCommand>) {
+        if !self.fleet.following {
+            return;
         }
-        before < FOLLOWERS.div_ceil(domains.len()).max(DOMAIN_FOLLOWERS)
+        let own = self.own.instance.node;
+        let members = self.roster.members();
+        let near = members.iter().filter(|member| {
+            member.standing.is_present()
+                && member.facts.domain == self.own.domain
+                && member.facts.instance.node != own
+        });
+        let near: Vec<InstanceId> = near.map(|member| member.facts.instance).collect();
+        for peer in near {
+            self.send_peer(peer, PeerMessage::FleetHead { version }, out);
+        }
+    }
+
+    /// The follower of this node's failure domain that it asks first for a contract.
+    ///
+    /// Failure: all nodes ask the one that told of a version. It sends a contract of some ten KB to hundreds
+    /// of nodes over a link of 20 Mbit/s, which takes seconds, and the contract is late on most of them. The
+    /// nodes of a domain divide themselves over its followers, which heard it from the source.
+    pub(crate) fn near_follower(&mut self) -> Option<NodeId> {
+        let own = self.own.instance.node;
+        let followers = self.near_followers();
+        let others: Vec<NodeId> = followers.into_iter().filter(|node| *node != own).collect();
+        let place = self.fleet.random.random_range(0..others.len().max(1));
+        others.get(place).copied()
     }
 }
--- a/crates/engine/src/holding.rs
+++ b/crates/engine/src/holding.rs
@@ -130,7 +130,7 @@
             upstream.breaker.ended(now, work.0, kind);
         }
         if trial {
-            upstream.breaker.trial_ended(now);
+            upstream.breaker.trial_ended();
         }
         if self.has_fleet_form() {
             self.check_standing(now, slot, kind, out);
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -302,6 +302,7 @@
             PeerMessage::ContractPage { ask, page } => {
                 self.on_contract_page(now, from, &ask, &page, out);
             }
+            PeerMessage::FleetHead { version } => self.on_head_told(now, from, version),
         }
     }
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -81,6 +81,11 @@
         /// The page, as JSON.
         page: Vec<u8>,
     },
+    /// Tells that the sender, which follows the source, has this version of the fleet contract.
+    FleetHead {
+        /// The version.
+        version: u64,
+    },
 }
 
 /// Which contracts a node asks a peer for.
--- a/crates/engine/src/pools.rs
+++ b/crates/engine/src/pools.rs
@@ -123,6 +123,7 @@
 
     pub(crate) fn tick_pools(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
         self.drop_idle_pools(now);
+        let fleet = self.has_fleet_form();
         let mut findings = Vec::new();
         let mut reports: Vec<(ServiceName, Vec<UpstreamEvidence>)> = Vec::new();
         for (service, pool) in &mut self.pools {
@@ -134,7 +135,10 @@
                 };
                 out.push(NodeCommand::Note(note));
             }
-            let report = pool.report(now);
+            // Under a fleet contract the node beside each upstream sees all that callers see, sooner, and
+            // its word goes with every reply. Callers' own scores, told to each other, took nothing off the
+            // failures, and at some hundred nodes each hears of an upstream only once in half a minute.
+            let report = if fleet { Vec::new() } else { pool.report(now) };
             if !report.is_empty() {
                 reports.push((service.clone(), report));
             }
--- a/crates/engine/src/standing.rs
+++ b/crates/engine/src/standing.rs
@@ -74,7 +74,7 @@
                 continue;
             };
             if std::mem::take(&mut state.on_trial) {
-                upstream.breaker.trial_ended(now);
+                upstream.breaker.trial_ended();
             }
             if state.offer.trial_fit {
                 callers.insert(state.offer.from);
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -381,6 +381,47 @@
     assert!(engines.values().all(|engine| engine.fleet_version() == 7));
 }
 
+// Forty-eight nodes in three failure domains; nine follow the source and hear of a contract at the same time. The
+// others take it from them. Asked by all, the one that told of it first would send a contract of many KB
+// to thirty-nine over one slow link; they divide themselves over the followers.
+#[test]
+fn no_node_is_asked_for_a_contract_by_all() {
+    let mut world = SessionWorld::start_fleet_in(3, 48, contract(3, "/prices/"));
+    world.run_for(REST);
+    world.pulls.clear();
+    let newer = Arc::new(contract(7, "/rates/"));
+    let followers: Vec<_> = world.followers.iter().copied().collect();
+    for number in 0..48 {
+        let name = name_of(number);
+        if followers.contains(&node(&name)) {
+            world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
+        }
+    }
+    world.run_for(Duration::from_secs(2));
+    let engines = world.engines();
+    assert!(engines.values().all(|engine| engine.fleet_version() == 7));
+    let most = world.pulls.values().copied().max().unwrap_or_default();
+    assert!(most <= 12, "one node was asked {most} times");
+}
+
+// A large part of the fleet restarts, and gossip is late by seconds; here none arrives. The nodes that follow the
+// source tell their failure domain of a contract, and it is in force everywhere within a second.
+#[test]
+fn a_contract_does_not_wait_for_gossip() {
+    let mut world = SessionWorld::start_fleet_in(3, 24, contract(3, "/prices/"));
+    world.run_for(REST);
+    world.wire.gossip_lost = true;
+    let newer = Arc::new(contract(7, "/rates/"));
+    for id in world.followers.clone() {
+        let name = (0..24).map(name_of).find(|name| node(name) == id);
+        let name = name.expect("one of the nodes");
+        world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
+    }
+    world.run_for(Duration::from_secs(1));
+    let engines = world.engines();
+    assert!(engines.values().all(|engine| engine.fleet_version() == 7));
+}
+
 // The nodes hear of a version that nobody gives them. After a second they look at the source themselves.
 #[test]
 fn a_version_that_no_peer_gives_is_looked_for_at_the_source() {
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -20,7 +20,8 @@
 };
 use sycamorelink_engine::{
     AttemptOrder, AttemptReport, CallerRequest, ContractForm, EngineSettings, LogEntry, LogStream,
-    NodeCommand, NodeEngine, NodeEvent, UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
+    NodeCommand, NodeEngine, NodeEvent, PeerMessage, UpstreamAnnouncement, WorkEnd, WorkOffer,
+    WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_limits::WorkId;
@@ -92,6 +93,8 @@
     pub loss: u32,
     /// Greatest delay on top of the usual one, in milliseconds; makes messages overtake.
     pub jitter: u64,
+    /// Whether datagrams, which carry gossip, are lost.
+    pub gossip_lost: bool,
     /// Share of appends that are made twice because their reply was lost, in percent.
     pub twice: u32,
 }
@@ -114,6 +117,8 @@
     pub runs: BTreeMap<RequestId, u32>,
     /// What is wrong between the nodes.
     pub wire: WireFaults,
+    /// How often each node was asked for a contract.
+    pub pulls: BTreeMap<NodeId, u32>,
     /// Nodes that follow the source of the fleet contract.
     pub followers: BTreeSet<NodeId>,
     /// Failure domains that nodes are spread over; none puts each into one of its own.
@@ -181,6 +186,7 @@
             scripts: BTreeMap::new(),
             runs: BTreeMap::new(),
             wire: WireFaults::default(),
+            pulls: BTreeMap::new(),
             followers: BTreeSet::new(),
             domains: None,
             fleet: None,
@@ -459,6 +465,9 @@
             }
             NodeCommand::CancelAttempt { attempt } => self.cancel(id, attempt),
             NodeCommand::SendPeer { to, message, .. } => {
+                if matches!(message, PeerMessage::ContractPull { .. }) {
+                    *self.pulls.entry(to.node).or_default() += 1;
+                }
                 let lives = self.engines.get(&to.node).map(NodeEngine::own_instance);
                 let Some(delay) = self.travel(id, to.node, true).filter(|_| lives == Some(to))
                 else {
@@ -474,6 +483,7 @@
                 let from = self.addresses.iter().find(|(_, node)| **node == id);
                 let from = from.map(|(address, _)| *address);
                 if let (Some(from), Some(&receiver)) = (from, self.addresses.get(&to))
+                    && !self.wire.gossip_lost
                     && let Some(delay) = self.travel(id, receiver, true)
                 {
                     let event = NodeEvent::DatagramReceived { from, message };
--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -77,6 +77,10 @@
 /// Time between the first trials of a server that is more likely failing than not, as a share of the
 /// time that faults last: most such trials are repeated elsewhere, and repeats are bounded.
 const TRIAL_SHARE: f64 = 0.2;
+/// Trials at the same time. Failure: a trial hangs for seconds, the server is whole again meanwhile, and
+/// gets nothing until the trial ends. The pause runs from the start of a trial, so that it bounds how
+/// long a server goes without one; two at a time are as many as fit into the time in which one is late.
+const MOST_TRIALS: u32 = 2;
 /// Most doublings of the pause.
 const MOST_DOUBLINGS: u32 = 4;
 /// Longest time between two trials, however long faults last: a trial is one repeatable request that
@@ -102,6 +106,7 @@
     /// Of the bad ends of a failing server, those without an answer.
     silent: EndShare,
     trials: u32,
+    /// When the last trial began; none when the next may begin at once.
     last_trial: Option<Duration>,
     /// Trials in a row that went badly.
     failed_trials: u32,
@@ -183,18 +188,21 @@
         let rested = self
             .last_trial
             .is_none_or(|last| now.saturating_sub(last) >= self.trial_pause());
-        if !trial_fit || self.trials > 0 || !rested {
+        if !trial_fit || self.trials >= MOST_TRIALS || !rested {
             return BreakerVerdict::Held;
         }
         self.trials += 1;
+        self.last_trial = Some(now);
         BreakerVerdict::Trial
     }
 
     /// Notes that a trial ended, whatever its end. After one that brought a whole reply the next may
     /// follow at once.
-    pub fn trial_ended(&mut self, now: Duration) {
+    pub fn trial_ended(&mut self) {
         self.trials = self.trials.saturating_sub(1);
-        self.last_trial = (self.odds > 0.0 && self.served == 0).then_some(now);
+        if self.odds <= 0.0 || self.served > 0 {
+            self.last_trial = None;
+        }
     }
 
     /// Counts the runs that have hung by now as ended badly, and gives them; none while the server is
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::record::{EvidenceView, ServiceState, UpstreamRecord, highest};
 use crate::score::ScoreKind;
 use crate::settings::PoolSettings;
+use crate::trials::FIRST_AVOIDED;
 use crate::usual::UsualShare;
 
 /// Floor before a contract sets one: half of the known slots.
@@ -38,6 +39,8 @@
     pub(crate) near: Option<DomainName>,
     pub(crate) baseline: PoolBaseline,
     pub(crate) usual: UsualShare,
+    /// Share of the upstreams that choices keep away from, as draws for trials meet them.
+    pub(crate) avoided_share: f64,
     /// Mean bytes of a reply, by kind of work.
     pub(crate) reply_sizes: BTreeMap<u64, f64>,
     pub(crate) ledger: FloorLedger,
@@ -77,6 +80,7 @@
             near: None,
             baseline: PoolBaseline::new(),
             usual: UsualShare::new(),
+            avoided_share: FIRST_AVOIDED,
             reply_sizes: BTreeMap::new(),
             ledger: FloorLedger::default(),
             common: 0.0,
--- a/crates/policy/src/trials.rs
+++ b/crates/policy/src/trials.rs
@@ -1,16 +1,16 @@
 //! Which upstreams that choices keep away from are tried, and by which requests.
 //!
 //! ```text
-//! request that may be repeated ─ one upstream drawn evenly ─┬─ avoided ─▶ tried
-//!                                                           └─ in use ──▶ the cheapest of all
+//! request that may be repeated ─ upstreams drawn evenly ─┬─ one avoided ─▶ tried
+//!                                                        └─ all in use ──▶ the cheapest of all
 //! ```
 //!
 //! Pattern: a third of a service's upstreams fail by turns, each for some seconds. Choices by cost
 //! keep away from every one that was told to be failing, so nobody meets it once it is whole again.
 //! Within ten seconds half of the service stands idle, and the other half is full.
 //!
-//! Each upstream that is avoided gets the part of the repeatable requests that an even spread would
-//! give it, whatever is told of it. The node beside it lets one at a time run and turns the others
+//! Each upstream that is avoided gets at least the part of the repeatable requests that an even spread
+//! would give it, whatever is told of it, and twice that where few are avoided. The node beside it lets one at a time run and turns the others
 //! away unrun, and what does not answer in time is sent elsewhere as well.
 
 use std::time::Duration;
@@ -22,18 +22,42 @@
 use crate::pool::ServicePool;
 use crate::record::UpstreamRecord;
 
+/// Share of avoided upstreams up to which a second one is drawn when the first is in use. Where four of five
+/// requests must not repeat, an even part of the others is one in two seconds, and a server that is whole
+/// again goes without for longer. Beyond a third, two draws would give most of what may be repeated to
+/// upstreams that are likely to fail it.
+const TWO_DRAWS_MOST: f64 = 1.0 / 3.0;
+/// The share before any draw: above that, so that a node draws twice only once some draws met none.
+pub(crate) const FIRST_AVOIDED: f64 = 0.5;
+/// Weight of one more draw in that share: some twenty requests count.
+const SHARE_STEP: f64 = 0.05;
 /// Most that distance may cost a trial. Every node of every failure domain tries; one whose replies are
 /// dear between domains leaves it to those nearby.
 const TRIAL_FAR_MOST: f64 = 0.1;
 
 impl ServicePool {
-    /// An upstream to try with a request that may be repeated: one drawn evenly from all, if choices
-    /// keep away from it.
+    /// An upstream to try with a request that may be repeated: one drawn evenly from all that choices
+    /// keep away from, if there is one among a few drawn.
     pub fn pick_trial(
         &mut self,
         now: Duration,
         exclude: &[UpstreamId],
         kind: u64,
+    ) -> Option<UpstreamId> {
+        let first = self.draw_avoided(now, exclude, kind);
+        let hit = f64::from(u8::from(first.is_some()));
+        self.avoided_share += (hit - self.avoided_share) * SHARE_STEP;
+        if first.is_some() || self.avoided_share > TWO_DRAWS_MOST {
+            return first;
+        }
+        self.draw_avoided(now, exclude, kind)
+    }
+
+    fn draw_avoided(
+        &mut self,
+        now: Duration,
+        exclude: &[UpstreamId],
+        kind: u64,
     ) -> Option<UpstreamId> {
         if self.candidates.is_empty() {
             return None;
--- a/crates/policy/tests/breaker.rs
+++ b/crates/policy/tests/breaker.rs
@@ -63,7 +63,7 @@
         if breaker.admit(at(millis), true) == BreakerVerdict::Trial {
             trials += 1;
             breaker.ended(at(millis + 5), 0, SampleKind::ConnectionLost);
-            breaker.trial_ended(at(millis + 5));
+            breaker.trial_ended();
         }
     }
     assert!((3..=6).contains(&trials), "{trials}");
@@ -80,7 +80,7 @@
         if breaker.admit(at(millis), true) == BreakerVerdict::Trial {
             trials += 1;
             breaker.ended(at(millis + 300), 0, SampleKind::Served);
-            breaker.trial_ended(at(millis + 300));
+            breaker.trial_ended();
         }
         millis += 310;
     }
