A node that follows no source asks a follower every second whether there is a newer contract

A quarter of the machines had been replaced and ways to others were cut, so nobody told this one. Ruled out: a late read of the source: the followers had it, as all other nodes show. Change: besides being told, it asks: sixty bytes a second within its failure domain. Test: a_node_that_is_told_nothing_asks_for_a_newer_contract.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -37,6 +37,9 @@
 /// users' instances while a few others are sent it as well. Asked for sooner, it comes twice, and the
 /// links of those that have it are full.
 const PULL_PAUSE: Duration = Duration::from_millis(400);
+/// Pause between two questions of a node to a follower whether there is a newer contract: two of them fit
+/// into the time in which a contract must be in force, and each is some sixty bytes within a failure domain.
+const CHECK_PAUSE: Duration = Duration::from_secs(1);
 /// Which peer that is asked is the one that told of the version.
 const TELLER_ASKED: u32 = 1;
 /// First ejection under a fleet contract: the breaker beside each server answers within a fault, and
@@ -76,6 +79,8 @@
     head: Option<(u64, NodeId, Duration)>,
     /// How many peers were asked for that version.
     asked: u32,
+    /// When a follower is next asked whether there is a newer one.
+    next_check: Duration,
     /// How many followers told that they have it.
     tellers: u32,
     /// Whether the daemon was told to follow the source.
@@ -97,6 +102,7 @@
             known: None,
             head: None,
             asked: 0,
+            next_check: Duration::ZERO,
             tellers: 0,
             following: false,
             draw: random.random(),
@@ -290,7 +296,10 @@
                 }
             }
             _ if own == 0 => None,
-            _ => return,
+            _ => {
+                self.check_with_follower(now, out);
+                return;
+            }
         };
         let Some(peer) = self.pull_peer(asked) else {
             return;
@@ -300,6 +309,22 @@
         self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
     }
 
+    /// Failure: a node is hardly heard of, because it has just joined or some ways to it are cut; nobody tells
+    /// it of a new contract, and it goes on with the old one. So it asks a follower every second whether
+    /// there is one; nothing comes back if there is none.
+    fn check_with_follower(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
+        if self.fleet.following || now < self.fleet.next_check {
+            return;
+        }
+        self.fleet.next_check = now + CHECK_PAUSE;
+        let follower = self.near_follower();
+        if let Some(peer) = follower.and_then(|node| self.instance_of(node)) {
+            let newer_than = self.fleet.version();
+            let ask = ContractAsk::Fleet { newer_than };
+            self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
+        }
+    }
+
     /// This peer if it is known, else another one at each try.
     fn pull_peer(&mut self, peer: Option<NodeId>) -> Option<InstanceId> {
         let known = peer.and_then(|node| self.instance_of(node));
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -397,7 +397,7 @@
             world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
         }
     }
-    world.run_for(Duration::from_secs(2));
+    world.run_for(Duration::from_millis(500));
     let engines = world.engines();
     assert!(engines.values().all(|engine| engine.fleet_version() == 7));
     let most = world.pulls.values().copied().max().unwrap_or_default();
@@ -447,3 +447,30 @@
         world.followers.len()
     );
 }
+
+// A node is told nothing, because nobody has heard of it for long enough; here what followers tell and all gossip
+// is lost. It asks one of them every second, and goes on with the new contract.
+#[test]
+fn a_node_that_is_told_nothing_asks_for_a_newer_contract() {
+    let mut world = SessionWorld::start_fleet_in(1, 14, contract(3, "/prices/"));
+    world.run_for(REST);
+    let out_of_reach = (0..14)
+        .map(name_of)
+        .find(|name| !world.followers.contains(&node(name)))
+        .expect("not all follow");
+    world.wire.gossip_lost = true;
+    for id in world.followers.clone() {
+        world.wire.cuts.insert((id, node(&out_of_reach)));
+    }
+    let newer = Arc::new(contract(7, "/rates/"));
+    for id in world.followers.clone() {
+        let name = (0..14).map(name_of).find(|name| node(name) == id);
+        let name = name.expect("one of the nodes");
+        world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
+    }
+    world.run_for(Duration::from_millis(50));
+    world.wire.cuts.clear();
+    world.run_for(Duration::from_millis(1500));
+    let version = world.engines()[&node(&out_of_reach)].fleet_version();
+    assert_eq!(version, 7);
+}
