The question for a newer contract goes to a follower and to another node in turn

One node (depot-west-20) answered by the old contract 5.2 s after a new one was acknowledged. A quarter of the machines had been replaced; a node whose failure domain's followers are among the lost asks nobody who is there until the loss is noticed. Ruled out: gossip and what followers tell, which reached all others. Test: a_node_whose_followers_are_lost_asks_others.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -297,7 +297,7 @@
             }
             _ if own == 0 => None,
             _ => {
-                self.check_with_follower(now, out);
+                self.check_for_newer(now, out);
                 return;
             }
         };
@@ -310,16 +310,18 @@
     }
 
     /// Failure: a node is hardly heard of, because it has just joined or some ways to it are cut; nobody tells
-    /// it of a new contract, and it goes on with the old one. So it asks a follower every second whether
-    /// there is one; nothing comes back if there is none.
-    fn check_with_follower(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
+    /// it of a new contract, and it goes on with the old one. So it asks every second whether there is one;
+    /// nothing comes back if there is none. It asks a follower, which hears first, and another node in turn
+    /// anywhere, since the followers of its failure domain may be the ones that were just lost.
+    fn check_for_newer(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
         if self.fleet.following || now < self.fleet.next_check {
             return;
         }
         self.fleet.next_check = now + CHECK_PAUSE;
         let follower = self.near_follower();
-        if let Some(peer) = follower.and_then(|node| self.instance_of(node)) {
-            let newer_than = self.fleet.version();
+        let follower = follower.and_then(|node| self.instance_of(node));
+        let newer_than = self.fleet.version();
+        for peer in follower.into_iter().chain(self.pull_source()) {
             let ask = ContractAsk::Fleet { newer_than };
             self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
         }
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -167,6 +167,7 @@
             domain: own.domain.clone(),
             wall_at_start: wall,
         };
+        let first_asked = usize::try_from(own.instance.node.0 ^ seed).unwrap_or(0);
         let roster = NodeRoster::new(settings.roster.clone(), own.clone(), seed);
         Self {
             guard: GuardNode::new(identity, settings.guard.clone(), seed),
@@ -198,7 +199,8 @@
             log_oldest: 0,
             contract_head: 0,
             next_carry: Duration::ZERO,
-            pull_turn: 0,
+            // Nodes that start together begin with different peers, so that not all ask the same one.
+            pull_turn: first_asked,
             assembly: None,
             wall,
             heads: BTreeMap::new(),
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -474,3 +474,28 @@
     let version = world.engines()[&node(&out_of_reach)].fleet_version();
     assert_eq!(version, 7);
 }
+
+// The same where the followers of the node's failure domain are the ones that were lost, and nobody has noticed: it
+// learns of the contract from the nodes of another domain.
+#[test]
+fn a_node_whose_followers_are_lost_asks_others() {
+    let mut world = SessionWorld::start_fleet_in(3, 48, contract(3, "/prices/"));
+    world.run_for(REST);
+    world.wire.gossip_lost = true;
+    let name_of_node = |id| (0..48).map(name_of).find(|name| node(name) == id);
+    let followers = world.followers.clone();
+    let followers = followers.into_iter().filter_map(name_of_node);
+    let (lost, left): (Vec<String>, Vec<String>) =
+        followers.partition(|name| domain_among_three(name) == 0);
+    for name in &lost {
+        world.kill(name);
+    }
+    let newer = Arc::new(contract(7, "/rates/"));
+    for name in &left {
+        world.tell(name, NodeEvent::FleetContract(Arc::clone(&newer)));
+    }
+    world.run_for(Duration::from_millis(2500));
+    let engines = world.engines();
+    let behind = engines.values().filter(|node| node.fleet_version() < 7);
+    assert_eq!(behind.count(), 0);
+}
