--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -36,7 +36,8 @@
         /// The evidence.
         evidence: Vec<UpstreamEvidence>,
     },
-    /// What the node beside an upstream tells of it when it turns suspect or sound.
+    /// What the node beside an upstream tells those who have work there: that it turned suspect or sound, or
+    /// that a run of theirs has become late on a suspect one.
     Standing {
         /// The service.
         service: ServiceName,
