--- a/crates/policy/src/trials.rs
+++ b/crates/policy/src/trials.rs
@@ -10,8 +10,9 @@
 //! Within ten seconds half of the service stands idle, and the other half is full.
 //!
 //! Each upstream that is avoided gets at least the part of the repeatable requests that an even spread
-//! would give it, whatever is told of it, and twice that where few are avoided. The node beside it lets one run every other second and turns
-//! the others away unrun, and what does not answer in time is sent elsewhere as well.
+//! would give it, whatever is told of it, and twice that where few are avoided. The node beside it lets
+//! one run every other second and turns the others away unrun, and what does not answer in time is sent
+//! elsewhere as well.
 
 use std::time::Duration;
 
