--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -340,6 +340,17 @@
     counts
 }
 
+/// The nodes that follow the source hear of a contract there, all at the same moment.
+fn tell_followers(world: &mut SessionWorld, version: u64) {
+    let newer = Arc::new(contract(version, "/rates/"));
+    let followers = world.followers.clone();
+    for name in (0..48).map(name_of) {
+        if followers.contains(&node(&name)) {
+            world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
+        }
+    }
+}
+
 // Twenty-four nodes wait for contracts at a service of which each call has a price. Three of each
 // failure domain follow it. All three of one domain end, and others take their place; a contract
 // that only the followers hear of is in force everywhere.
@@ -357,13 +368,7 @@
     }
     world.run_for(Duration::from_secs(20));
     assert_eq!(followers_by_domain(&world), [3, 3, 3]);
-    let newer = Arc::new(contract(7, "/rates/"));
-    for number in 0..24 {
-        let name = name_of(number);
-        if world.followers.contains(&node(&name)) {
-            world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
-        }
-    }
+    tell_followers(&mut world, 7);
     world.run_for(Duration::from_secs(2));
     let engines = world.engines();
     assert!(engines.values().all(|engine| engine.fleet_version() == 7));
@@ -377,14 +382,7 @@
     let mut world = SessionWorld::start_fleet_in(3, 48, contract(3, "/prices/"));
     world.run_for(REST);
     world.pulls.clear();
-    let newer = Arc::new(contract(7, "/rates/"));
-    let followers: Vec<_> = world.followers.iter().copied().collect();
-    for number in 0..48 {
-        let name = name_of(number);
-        if followers.contains(&node(&name)) {
-            world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
-        }
-    }
+    tell_followers(&mut world, 7);
     world.run_for(Duration::from_millis(500));
     let engines = world.engines();
     assert!(engines.values().all(|engine| engine.fleet_version() == 7));
@@ -399,12 +397,7 @@
     let mut world = SessionWorld::start_fleet_in(3, 24, contract(3, "/prices/"));
     world.run_for(REST);
     world.wire.gossip_lost = true;
-    let newer = Arc::new(contract(7, "/rates/"));
-    for id in world.followers.clone() {
-        let name = (0..24).map(name_of).find(|name| node(name) == id);
-        let name = name.expect("one of the nodes");
-        world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
-    }
+    tell_followers(&mut world, 7);
     world.run_for(Duration::from_secs(1));
     let engines = world.engines();
     assert!(engines.values().all(|engine| engine.fleet_version() == 7));
@@ -450,12 +443,7 @@
     for id in world.followers.clone() {
         world.wire.cuts.insert((id, node(&out_of_reach)));
     }
-    let newer = Arc::new(contract(7, "/rates/"));
-    for id in world.followers.clone() {
-        let name = (0..14).map(name_of).find(|name| node(name) == id);
-        let name = name.expect("one of the nodes");
-        world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newer)));
-    }
+    tell_followers(&mut world, 7);
     world.run_for(Duration::from_millis(50));
     world.wire.cuts.clear();
     world.run_for(Duration::from_millis(1500));
