Client accounts under a fleet contract: keys, names to backend servers, quotas over all instances

Ruled out: limits::share (leases) for quotas; its leases hold for minutes and its rights for ten, and a node sees a request of most accounts once in ten seconds. Virtual time, 96 nodes, demand five times the quota: within the bound for accounts of 2 to 140 requests a second (crates/limits/tests/quota.rs).

--- a/crates/contract/src/fleet/mod.rs
+++ b/crates/contract/src/fleet/mod.rs
@@ -1,13 +1,16 @@
-//! One contract for the whole fleet, published as a whole and open to callers without a token.
+//! One contract for the whole fleet, published as a whole. Callers need no token of the product; where
+//! it has client accounts, a request brings a key of one, unless its route is public.
 //!
 //! ```text
-//! FleetContract ── validate ──▶ FleetTable ── find(host, path) ──▶ FleetRule ── part(draw) ──▶ RouteRule
+//! FleetContract ── validate ──▶ FleetTable ─┬ find(host, path) ──▶ FleetRule ── part(draw) ──▶ RouteRule
+//!                                           └ account(digest of the key) ──▶ AccountRule
 //! ```
 //!
 //! Where every caller is trusted and an operator publishes routes for all of them at once, a chain
 //! of amended versions for each customer has no work. The newest whole contract is in force; it
 //! carries its own version, and a node never goes back to an older one.
 
+mod account;
 mod table;
 
 use std::collections::BTreeSet;
@@ -20,6 +23,7 @@
 
 use crate::terms::{DetectionLeaning, MAX_PRIORITY, RepeatClass, RetryBudget};
 
+pub use account::{AccountQuota, AccountRule, FleetAccount};
 pub use table::{FleetRule, FleetTable};
 
 /// Name under which the requests of a fleet contract are counted.
@@ -35,6 +39,9 @@
     pub services: Vec<ServiceName>,
     /// Routes, in any order.
     pub routes: Vec<FleetRoute>,
+    /// Client accounts; with none, callers need no key.
+    #[serde(default)]
+    pub accounts: Vec<FleetAccount>,
     /// How many requests may be retried.
     #[serde(default)]
     pub retry_budget: RetryBudget,
@@ -71,6 +78,9 @@
     pub priority: u8,
     /// Services that share the requests by weight.
     pub parts: Vec<RoutePart>,
+    /// Whether callers need no key of an account.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// A service's part of a route.
@@ -99,6 +109,7 @@
                 "another route has this host and prefix",
             );
         }
+        account::check_accounts(&self.accounts, &mut findings);
         findings
     }
 }
--- a/crates/contract/src/fleet/table.rs
+++ b/crates/contract/src/fleet/table.rs
@@ -5,8 +5,9 @@
 
 use sycamorelink_core::CustomerName;
 
-use super::{FLEET_CUSTOMER, FleetContract, FleetRoute, RoutePart};
+use super::{AccountRule, FLEET_CUSTOMER, FleetContract, FleetRoute, RoutePart};
 use crate::change::ContractVersion;
+use crate::digest::ContentDigest;
 use crate::table::{CustomerRule, KeyRule, MethodSet, RouteRule, ServiceIndex};
 use crate::terms::{
     DEFAULT_SUCCESS, DEFAULT_WINDOW, HedgeBudget, OpaqueKeys, RepeatClass, ServiceObjective,
@@ -24,6 +25,7 @@
 pub struct FleetRule {
     parts: Vec<(u32, RouteRule)>,
     total: u64,
+    public: bool,
 }
 
 impl FleetRule {
@@ -40,6 +42,12 @@
         self.parts.last().map(|(_, rule)| rule)
     }
 
+    /// Whether callers need no key of an account.
+    #[must_use]
+    pub const fn is_public(&self) -> bool {
+        self.public
+    }
+
     /// Whether the requests go to more than one service.
     #[must_use]
     pub fn is_split(&self) -> bool {
@@ -52,6 +60,8 @@
 pub struct FleetTable {
     version: u64,
     hosts: BTreeMap<Arc<str>, BTreeMap<Arc<str>, FleetRule>>,
+    accounts: BTreeMap<CustomerName, Arc<AccountRule>>,
+    keys: BTreeMap<ContentDigest, Arc<AccountRule>>,
 }
 
 impl FleetTable {
@@ -64,12 +74,39 @@
             let rules = hosts.entry(Arc::clone(&route.host)).or_default();
             rules.insert(Arc::clone(&route.prefix), rule_of(route, &terms));
         }
+        let mut accounts = BTreeMap::new();
+        let mut keys = BTreeMap::new();
+        for account in &contract.accounts {
+            let rule = Arc::new(AccountRule::new(account, &terms));
+            let held = account.keys.iter().map(|key| (*key, Arc::clone(&rule)));
+            keys.extend(held);
+            accounts.insert(account.name.clone(), rule);
+        }
         Self {
             version: contract.version,
             hosts,
+            accounts,
+            keys,
         }
     }
 
+    /// Whether requests need a key of an account, unless their route is public.
+    #[must_use]
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// The account that holds the key with this digest.
+    #[must_use]
+    pub fn account(&self, key: &ContentDigest) -> Option<&Arc<AccountRule>> {
+        self.keys.get(key)
+    }
+
+    /// All accounts, by name.
+    pub fn accounts(&self) -> impl Iterator<Item = &Arc<AccountRule>> {
+        self.accounts.values()
+    }
+
     /// Version of the contract.
     #[must_use]
     pub const fn version(&self) -> u64 {
@@ -113,6 +150,7 @@
     FleetRule {
         total: parts.iter().map(|(weight, _)| u64::from(*weight)).sum(),
         parts,
+        public: route.public,
     }
 }
 
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -37,7 +37,10 @@
 pub use contract::{CustomerContract, contract_schema};
 pub use diff::{ValueChange, diff};
 pub use digest::ContentDigest;
-pub use fleet::{FLEET_CUSTOMER, FleetContract, FleetRoute, FleetRule, FleetTable, RoutePart};
+pub use fleet::{
+    AccountQuota, AccountRule, FLEET_CUSTOMER, FleetAccount, FleetContract, FleetRoute, FleetRule,
+    FleetTable, RoutePart,
+};
 pub use table::{
     AccountMatch, CustomerIndex, CustomerRule, KeyRule, MethodSet, RouteRule, RouteTable,
     ServiceIndex, ServiceRule,
--- a/crates/daemon/src/border/caller.rs
+++ b/crates/daemon/src/border/caller.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
-use sycamorelink_core::{RefusalCode, RequestId, RequestRefusal, RunState};
+use sycamorelink_core::{CustomerName, RefusalCode, RequestId, RequestRefusal, RunState};
 use sycamorelink_engine::CallerRequest;
 
 use crate::callers::{forwarded_headers, read_head, refusal_answer, reply_head_answer};
@@ -25,8 +25,13 @@
         replay_limit: u64,
     ) -> Result<CallerRequest, RefusalCode>;
 
-    /// Headers to hand on to the backend server.
-    fn forwarded(&self, headers: &HeaderMap) -> Vec<(String, Vec<u8>)>;
+    /// Headers to hand on to the backend server; `account` is the client account whose key the request
+    /// brought.
+    fn forwarded(
+        &self,
+        headers: &HeaderMap,
+        account: Option<&CustomerName>,
+    ) -> Vec<(String, Vec<u8>)>;
 
     /// The answer to a refused request.
     fn refusal(&self, request: RequestId, refusal: &RequestRefusal) -> Response<Bytes>;
@@ -49,7 +54,11 @@
         read_head(id, head, replay_limit)
     }
 
-    fn forwarded(&self, headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    fn forwarded(
+        &self,
+        headers: &HeaderMap,
+        _account: Option<&CustomerName>,
+    ) -> Vec<(String, Vec<u8>)> {
         forwarded_headers(headers)
     }
 
--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -222,7 +222,10 @@
             order: order.clone(),
             method: self.method.clone(),
             target: self.target.clone(),
-            headers: self.context.border.forwarded(&self.headers),
+            headers: self
+                .context
+                .border
+                .forwarded(&self.headers, order.account.as_ref()),
             body,
             body_length: length,
             signature: self.signature(order.signature),
--- a/crates/daemon/src/callers/head.rs
+++ b/crates/daemon/src/callers/head.rs
@@ -40,6 +40,7 @@
         id,
         label: Arc::from(id.to_string()),
         token: read_token(headers)?,
+        account_key: None,
         method: Arc::from(request.method().as_str()),
         host: Arc::from(""),
         path: Arc::from(request.uri().path()),
--- a/crates/daemon/src/settings/sections.rs
+++ b/crates/daemon/src/settings/sections.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use sycamorelink_core::{FindingList, nearest_name};
 use sycamorelink_guard::GuardSettings;
-use sycamorelink_limits::{CrashSettings, GateSettings, ShareSettings};
+use sycamorelink_limits::{CrashSettings, GateSettings, QuotaSettings, ShareSettings};
 use sycamorelink_policy::PolicySettings;
 use sycamorelink_roster::RosterSettings;
 
@@ -16,7 +16,7 @@
 use super::model::DaemonSettings;
 
 /// Parts of the section `limits`.
-const LIMIT_PARTS: [&str; 3] = ["share", "crash", "gate"];
+const LIMIT_PARTS: [&str; 4] = ["share", "crash", "gate", "quota"];
 
 /// The defaults of every section, as one object.
 #[must_use]
@@ -26,6 +26,7 @@
             "share": ShareSettings::default(),
             "crash": CrashSettings::default(),
             "gate": GateSettings::default(),
+            "quota": QuotaSettings::default(),
         },
         "guard": GuardSettings::default(),
         "roster": RosterSettings::default(),
@@ -63,6 +64,9 @@
     if let Some(gate) = part("gate") {
         check_part::<GateSettings, _>("limits.gate", gate, GateSettings::validate, findings);
     }
+    if let Some(quota) = part("quota") {
+        check_part::<QuotaSettings, _>("limits.quota", quota, QuotaSettings::validate, findings);
+    }
 }
 
 fn unknown_part(name: &str) -> String {
--- a/crates/daemon/src/starting.rs
+++ b/crates/daemon/src/starting.rs
@@ -104,6 +104,9 @@
     if let Some(gate) = settings.limits.get("gate") {
         parts.gate = section("limits.gate", gate)?;
     }
+    if let Some(quota) = settings.limits.get("quota") {
+        parts.quota = section("limits.quota", quota)?;
+    }
     parts
         .validate()
         .into_result()
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -144,6 +144,8 @@
     pub address: Option<SocketAddr>,
     /// Customer.
     pub customer: CustomerName,
+    /// The client account that the backend server is told of; none where the caller brought no key.
+    pub account: Option<CustomerName>,
     /// Service.
     pub service: ServiceName,
     /// Priority, greater is more important.
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -196,6 +196,7 @@
             executor,
             address: if upstream.node == own { None } else { address },
             customer: state.terms().customer.clone(),
+            account: state.account.as_ref().map(|rule| rule.name().clone()),
             service: state.rule.service.clone(),
             priority: state.rule.priority,
             time_left: state.deadline.saturating_sub(now),
--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -370,6 +370,9 @@
         if state.share_held {
             self.shares.finished(now, state.customer);
         }
+        if let RequestEnd::Refused(refusal) = &end {
+            self.give_quota_back(&state, refusal);
+        }
         let label = Arc::clone(&state.caller.label);
         let service = state.rule.service.clone();
         for attempt in state.open {
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use sycamorelink_contract::FleetContract;
+use sycamorelink_contract::{ContentDigest, FleetContract};
 use sycamorelink_core::{
     AttemptId, CustomerName, InstanceId, NodeId, RefusalCode, RequestId, RunState, ServiceName,
 };
@@ -159,8 +159,10 @@
     pub id: RequestId,
     /// The caller's own id of the request, else the fleet's; the same in every process's logs.
     pub label: Arc<str>,
-    /// The caller's token, as sent.
+    /// The caller's token, as sent; empty where callers bring none.
     pub token: Arc<str>,
+    /// Digest of the key of a client account of the fleet contract, if the caller brought one.
+    pub account_key: Option<ContentDigest>,
     /// HTTP method.
     pub method: Arc<str>,
     /// Host that the request names, in lower case and without a port; empty where none counts.
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -15,8 +15,10 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
-use sycamorelink_contract::{CustomerIndex as TableIndex, FleetContract, FleetTable, RouteRule};
-use sycamorelink_core::{InstanceId, NodeId, RefusalCode};
+use sycamorelink_contract::{
+    AccountRule, CustomerIndex as TableIndex, FleetContract, FleetTable, RouteRule,
+};
+use sycamorelink_core::{CustomerName, InstanceId, NodeId, RefusalCode};
 use sycamorelink_limits::{BudgetPart, WHOLE_REPEAT};
 use sycamorelink_policy::PoolSettings;
 use sycamorelink_roster::{RosterEvent, topic};
@@ -188,6 +190,7 @@
             from,
         }));
         self.refresh_fleet_pools();
+        self.refresh_quotas();
         out.push(NodeCommand::ContractsChanged);
         let event = RosterEvent::Publish {
             topic: topic::CONTRACT_HEAD,
@@ -374,19 +377,39 @@
         }
     }
 
-    /// The rule for a request under the fleet contract.
-    pub(crate) fn fleet_rule(&mut self, caller: &CallerRequest) -> Result<RouteRule, RefusalCode> {
+    /// Name of the client account whose key a request brings, for what is told of its refusal.
+    pub(crate) fn account_named_by(&self, caller: &CallerRequest) -> Option<CustomerName> {
+        let key = caller.account_key?;
+        let (_, table) = self.fleet.known.as_ref()?;
+        table.account(&key).map(|account| account.name().clone())
+    }
+
+    /// The rule for a request under the fleet contract, and the client account that it belongs to.
+    pub(crate) fn fleet_rule(
+        &mut self,
+        caller: &CallerRequest,
+    ) -> Result<(RouteRule, Option<Arc<AccountRule>>), RefusalCode> {
         let Some((_, table)) = self.fleet.known.clone() else {
             return Err(RefusalCode::NotReady);
         };
         let rule = table
             .find(&caller.host, &caller.path)
             .ok_or(RefusalCode::UnknownRoute)?;
+        let account = caller.account_key.and_then(|key| table.account(&key));
+        if account.is_none() && table.has_accounts() && !rule.is_public() {
+            return Err(RefusalCode::UnknownCustomer);
+        }
         if rule.is_split() {
             self.fleet.draw = (self.fleet.draw + DRAW_STEP).fract();
         }
-        rule.part(self.fleet.draw)
+        let mut rule = rule
+            .part(self.fleet.draw)
             .cloned()
-            .ok_or(RefusalCode::UnknownRoute)
+            .ok_or(RefusalCode::UnknownRoute)?;
+        if let Some(account) = account {
+            rule.terms = Arc::clone(&account.terms);
+            rule.priority = account.priority.unwrap_or(rule.priority);
+        }
+        Ok((rule, account.cloned()))
     }
 }
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -10,7 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sycamorelink_contract::{CustomerIndex as TableIndex, OpaqueKeys, RepeatClass, RouteRule};
+use sycamorelink_contract::{
+    AccountRule, CustomerIndex as TableIndex, OpaqueKeys, RepeatClass, RouteRule,
+};
 use sycamorelink_core::{RefusalCode, RequestId, RequestRefusal};
 use sycamorelink_guard::{GuardEvent, KeyFingerprint, KeyId, KeyTime};
 use sycamorelink_limits::{Admission, CrashSignature, CustomerIndex};
@@ -30,6 +32,9 @@
 /// Longest time that a request waits for a share of its customer's limits.
 const SHARE_PATIENCE: Duration = Duration::from_secs(1);
 
+/// What holds for a request: its customer, its route, and its client account under a fleet contract.
+type RequestTerms = (TableIndex, RouteRule, Option<Arc<AccountRule>>);
+
 impl NodeEngine {
     pub(crate) fn on_request(
         &mut self,
@@ -39,6 +44,7 @@
     ) {
         let id = caller.id;
         let label = Arc::clone(&caller.label);
+        let customer = self.account_named_by(&caller);
         match self.open_request(now, caller) {
             Ok(state) => {
                 // Failure: callers come again and again to a leaving node that refuses them, and it
@@ -57,7 +63,7 @@
                 let summary = RequestSummary {
                     label,
                     request: id,
-                    customer: None,
+                    customer,
                     service: None,
                     refusal: Some(refusal.clone()),
                     status: None,
@@ -84,7 +90,7 @@
         if !self.knows_contracts() {
             return Err(RequestRefusal::not_run(RefusalCode::NotReady).retry_after(ELSEWHERE_WAIT));
         }
-        let (customer, rule) = self.route_of(&caller).map_err(RequestRefusal::not_run)?;
+        let (customer, rule, account) = self.route_of(&caller).map_err(RequestRefusal::not_run)?;
         if caller
             .body_length
             .is_some_and(|length| length > rule.max_body)
@@ -92,6 +98,9 @@
             return Err(RequestRefusal::not_run(RefusalCode::BodyTooLarge));
         }
         let key = key_of(&rule, caller.key.as_deref()).map_err(RequestRefusal::not_run)?;
+        if let Some(account) = &account {
+            self.take_quota(now, account)?;
+        }
         let time = caller
             .time_left
             .map_or(rule.deadline, |left| left.min(rule.deadline));
@@ -104,6 +113,7 @@
         );
         Ok(RequestState {
             customer: CustomerIndex(customer.0),
+            account,
             arrived: now,
             deadline: now + time,
             phase: RequestPhase::AwaitingShare,
@@ -140,9 +150,10 @@
             || since.is_some_and(|since| now >= since + self.settings.leave_serving)
     }
 
-    fn route_of(&mut self, caller: &CallerRequest) -> Result<(TableIndex, RouteRule), RefusalCode> {
+    fn route_of(&mut self, caller: &CallerRequest) -> Result<RequestTerms, RefusalCode> {
         if self.has_fleet_form() {
-            return Ok((FLEET_INDEX, self.fleet_rule(caller)?));
+            let (rule, account) = self.fleet_rule(caller)?;
+            return Ok((FLEET_INDEX, rule, account));
         }
         let customer = self
             .table
@@ -152,7 +163,7 @@
             .table
             .find_route(customer, &caller.method, &caller.path)
             .ok_or(RefusalCode::UnknownRoute)?;
-        Ok((customer, rule.clone()))
+        Ok((customer, rule.clone(), None))
     }
 
     /// Takes a share of the customer's limits, or waits for one that is expected soon.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -39,6 +39,7 @@
 mod note;
 mod pools;
 mod pulling;
+mod quotas;
 mod repeats;
 mod request;
 mod settings;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -3,8 +3,7 @@
 use serde::{Deserialize, Serialize};
 use sycamorelink_core::{AttemptId, CustomerName, InstanceId, ServiceName, UpstreamId};
 use sycamorelink_guard::GuardMessage;
-use sycamorelink_limits::CrashMessage;
-use sycamorelink_limits::{ShareMember, ShareMessage};
+use sycamorelink_limits::{CrashMessage, QuotaMessage, ShareMember, ShareMessage};
 use sycamorelink_policy::{LoadHint, UpstreamEvidence};
 
 /// One message between two nodes. Each may be lost, repeated or overtaken.
@@ -87,6 +86,8 @@
         /// The version.
         version: u64,
     },
+    /// What was admitted of client accounts, and the parts of their quotas.
+    Quota(QuotaMessage),
 }
 
 /// Which contracts a node asks a peer for.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -20,6 +20,7 @@
 use crate::event::{LifeId, NodeEvent, UpstreamAnnouncement};
 use crate::fencing::FenceMark;
 use crate::fleet::FleetState;
+use crate::quotas::QuotaState;
 use crate::request::{RequestState, WorkState};
 use crate::settings::EngineSettings;
 use crate::standing::ToldStanding;
@@ -103,6 +104,7 @@
     pub(crate) table: Arc<RouteTable>,
     pub(crate) in_force: BTreeMap<CustomerIndex, ContractVersion>,
     pub(crate) fleet: FleetState,
+    pub(crate) quotas: QuotaState,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
     pub(crate) shares: ShareNode,
@@ -169,6 +171,7 @@
         };
         let first_asked = usize::try_from(own.instance.node.0 ^ seed).unwrap_or(0);
         let roster = NodeRoster::new(settings.roster.clone(), own.clone(), seed);
+        let quotas = QuotaState::new(settings.quota, seed);
         Self {
             guard: GuardNode::new(identity, settings.guard.clone(), seed),
             shares: ShareNode::new(own.instance, settings.share.clone()),
@@ -181,6 +184,7 @@
             table: Arc::default(),
             in_force: BTreeMap::new(),
             fleet: FleetState::new(seed),
+            quotas,
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
             pool_used: BTreeMap::new(),
@@ -370,6 +374,7 @@
         if self.has_fleet_form() {
             self.choose_follower(now, out);
             self.pull_fleet(now, out);
+            self.tick_quotas(now, out);
         } else {
             self.keep_contracts(now, out);
             self.pull_contracts(now, out);
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -1,9 +1,10 @@
 //! State of one request at the node that took it, and of one piece of work at the node that runs
 //! it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use sycamorelink_contract::{CustomerRule, RouteRule};
+use sycamorelink_contract::{AccountRule, CustomerRule, RouteRule};
 use sycamorelink_core::{AttemptId, InstanceId, RequestRefusal, UpstreamId};
 use sycamorelink_guard::{DispatchTicket, KeyId};
 use sycamorelink_limits::{CrashSignature, CustomerIndex};
@@ -48,6 +49,8 @@
     pub rule: RouteRule,
     /// Its customer in the limits' tables.
     pub customer: CustomerIndex,
+    /// Its client account under a fleet contract; none where it brought no key.
+    pub account: Option<Arc<AccountRule>>,
     /// When it arrived.
     pub arrived: Duration,
     /// When its caller stops waiting.
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -6,7 +6,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use sycamorelink_core::FindingList;
 use sycamorelink_guard::GuardSettings;
-use sycamorelink_limits::{CrashSettings, GateSettings, ShareSettings};
+use sycamorelink_limits::{CrashSettings, GateSettings, QuotaSettings, ShareSettings};
 use sycamorelink_policy::PolicySettings;
 use sycamorelink_roster::RosterSettings;
 
@@ -39,6 +39,8 @@
     pub crash: CrashSettings,
     /// Slots beside backend servers.
     pub gate: GateSettings,
+    /// How exactly quotas of client accounts are kept.
+    pub quota: QuotaSettings,
     /// Which mechanisms decide on requests.
     pub policy: PolicySettings,
     /// Greatest body of a keyed request, in bytes: it is read whole to be compared on a resend.
@@ -65,6 +67,7 @@
             share: ShareSettings::default(),
             crash: CrashSettings::default(),
             gate: GateSettings::default(),
+            quota: QuotaSettings::default(),
             policy: PolicySettings::default(),
             keyed_body: 1 << 20,
             announcement: Duration::from_secs(4),
@@ -82,6 +85,7 @@
             self.share.validate("limits.share"),
             self.crash.validate("limits.crash"),
             self.gate.validate("limits.gate"),
+            self.quota.validate("limits.quota"),
         ] {
             if let Err(found) = part {
                 findings.0.extend(found.0);
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -29,8 +29,10 @@
             service: ServiceName::new("orders"),
             weight: 1,
         }],
+        public: false,
     };
     FleetContract {
+        accounts: Vec::new(),
         version,
         services: vec![ServiceName::new("orders")],
         routes: vec![
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -354,6 +354,7 @@
             label: Arc::from(number.to_string()),
             id: RequestId(number),
             token: Arc::from(TOKEN),
+            account_key: None,
             method: Arc::from(method),
             host: Arc::from(""),
             path: Arc::from(target),
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admission;
 pub mod crash;
+pub mod quota;
 pub mod retry_budget;
 pub mod share;
 
@@ -22,6 +23,10 @@
     CrashCheck, CrashCommand, CrashEvent, CrashEvidence, CrashMessage, CrashRegistry,
     CrashSettings, CrashSignature, CrashVictim,
 };
+pub use quota::{
+    AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareNews,
+    UseReport,
+};
 pub use retry_budget::{BudgetPart, BudgetSettings, RetryBudget, WHOLE_REPEAT};
 pub use share::{
     Admission, AskEntry, CustomerIndex, CustomerLimit, CustomerShare, GrantEntry, ShareCommand,
--- /dev/null
+++ b/crates/limits/tests/quota.rs
@@ -0,0 +1,221 @@
+//! Quotas of client accounts over a fleet, in virtual time: what is admitted beyond a quota and refused below it.
+//!
+//! Load: requests of an account come to all nodes evenly and at random (Poisson), as they do behind a
+//! spread of clients. Messages take three milliseconds. Bounds are those that an operator states: in any
+//! five seconds the quota and a tenth more, and twenty requests besides.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use sycamorelink_core::{InstanceId, NodeId, NodeIncarnation};
+use sycamorelink_limits::quota::keeper_of;
+use sycamorelink_limits::{
+    AccountId, QuotaHolder, QuotaKeeper, QuotaSettings, QuotaTerms, ShareNews, UseReport,
+};
+
+const ACCOUNT: AccountId = AccountId(7);
+/// Step of virtual time, in milliseconds: the way between two nodes.
+const STEP_MS: u64 = 3;
+/// Steps between two runs of a node's periodic work.
+const TICK_STEPS: u64 = 33;
+
+struct QuotaFleet {
+    settings: QuotaSettings,
+    terms: QuotaTerms,
+    nodes: Vec<InstanceId>,
+    holders: Vec<QuotaHolder>,
+    keepers: Vec<QuotaKeeper>,
+    reports: Vec<(usize, usize, UseReport)>,
+    news: Vec<(usize, ShareNews)>,
+    random: SmallRng,
+    step: u64,
+    /// Milliseconds at which a request was admitted.
+    admitted: Vec<u64>,
+    asked: u64,
+    /// Nodes that cannot reach those of the other side.
+    cut: usize,
+}
+
+fn instance(number: usize) -> InstanceId {
+    let number = u64::try_from(number).expect("small");
+    InstanceId {
+        node: NodeId(number * 7919 + 13),
+        incarnation: NodeIncarnation(1),
+    }
+}
+
+impl QuotaFleet {
+    fn new(count: usize, rate: f64, seed: u64) -> Self {
+        let settings = QuotaSettings::default();
+        let seeds = seed * 1000..;
+        Self {
+            settings,
+            terms: QuotaTerms { rate, burst: rate },
+            nodes: (0..count).map(instance).collect(),
+            holders: seeds
+                .take(count)
+                .map(|seed| QuotaHolder::new(settings, seed))
+                .collect(),
+            keepers: (0..count).map(|_| QuotaKeeper::new(settings)).collect(),
+            reports: Vec::new(),
+            news: Vec::new(),
+            random: SmallRng::seed_from_u64(seed),
+            step: 0,
+            admitted: Vec::new(),
+            asked: 0,
+            cut: 0,
+        }
+    }
+
+    fn side(&self, node: usize) -> std::ops::Range<usize> {
+        if node < self.cut {
+            0..self.cut
+        } else {
+            self.cut..self.nodes.len()
+        }
+    }
+
+    /// Lets requests come at this rate for so long.
+    fn run(&mut self, seconds: u64, rate: f64) {
+        let nodes = self.nodes.len();
+        for _ in 0..seconds * 1000 / STEP_MS {
+            self.step += 1;
+            let now = Duration::from_millis(self.step * STEP_MS);
+            self.deliver(now);
+            let mut expected = rate * Duration::from_millis(STEP_MS).as_secs_f64();
+            while expected > 0.0 {
+                if self.random.random::<f64>() < expected {
+                    let node = self.random.random_range(0..nodes);
+                    self.ask(now, node);
+                }
+                expected -= 1.0;
+            }
+            for node in 0..nodes {
+                let offset = u64::try_from(node).expect("small");
+                if (self.step + offset).is_multiple_of(TICK_STEPS) {
+                    self.tick(now, node);
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Duration, node: usize) {
+        self.asked += 1;
+        if self.holders[node].admit(now, ACCOUNT, self.terms).is_ok() {
+            self.admitted.push(self.step * STEP_MS);
+        }
+    }
+
+    fn tick(&mut self, now: Duration, node: usize) {
+        let side = self.side(node);
+        let keeper = keeper_of(ACCOUNT, &self.nodes[side]).expect("a node");
+        let keeper = self.nodes.iter().position(|other| *other == keeper);
+        let keeper = keeper.expect("it is one of them");
+        for report in self.holders[node].reports(now) {
+            self.reports.push((node, keeper, report));
+        }
+        for news in self.keepers[node].news(now) {
+            let side = self.side(node);
+            self.news.extend(side.map(|other| (other, news)));
+        }
+    }
+
+    fn deliver(&mut self, now: Duration) {
+        for (node, news) in std::mem::take(&mut self.news) {
+            self.holders[node].told(now, news);
+        }
+        let whole = f64::from(u32::try_from(self.nodes.len()).expect("small"));
+        for (_, keeper, report) in std::mem::take(&mut self.reports) {
+            let seen = f64::from(u32::try_from(self.side(keeper).len()).expect("small"));
+            let terms = self.terms.scaled(seen / whole);
+            self.keepers[keeper].reported(now, report, terms);
+        }
+    }
+
+    /// Most that was admitted in any window beyond what the operator allows; below zero where it was
+    /// always less.
+    fn most_beyond(&self) -> f64 {
+        let window = u64::try_from(self.settings.window.as_millis()).expect("some seconds");
+        let allowed = self.terms.rate * self.settings.window.as_secs_f64() + self.terms.burst;
+        let allowed = allowed * (1.0 + self.settings.overage) + self.settings.slack;
+        let mut first = 0;
+        let mut most = 0;
+        for (last, at) in self.admitted.iter().enumerate() {
+            while self.admitted[first] + window < *at {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        f64::from(u32::try_from(most).expect("some thousands")) - allowed
+    }
+
+    fn admitted_since(&self, second: u64) -> f64 {
+        let since = self.admitted.iter().filter(|at| **at >= second * 1000);
+        f64::from(u32::try_from(since.count()).expect("some thousands"))
+    }
+}
+
+/// Rates of accounts, in requests a second: most are small, a few large.
+const RATES: [f64; 4] = [2.0, 10.0, 40.0, 140.0];
+
+// Callers of an account that keeps to six tenths of its quota are refused nothing. Were each node to
+// hold its even part, 97 of 100 nodes would have less than a token for most of the time.
+#[test]
+fn an_account_within_its_quota_is_refused_nothing() {
+    for rate in RATES {
+        let mut fleet = QuotaFleet::new(96, rate, 1);
+        fleet.run(20, rate * 0.6);
+        let admitted = u64::try_from(fleet.admitted.len()).expect("some thousands");
+        assert!(
+            admitted * 100 >= fleet.asked * 99,
+            "{rate}: {admitted} of {}",
+            fleet.asked
+        );
+    }
+}
+
+// One account sends five times its quota at once, after it was calm. What is admitted before the holders
+// know it is made up for, so that no window goes beyond the bound; what the quota allows is admitted.
+#[test]
+fn an_account_that_sends_five_times_its_quota_is_held_to_it() {
+    for seed in 1..=2 {
+        for rate in RATES {
+            let mut fleet = QuotaFleet::new(96, rate, seed);
+            fleet.run(10, rate * 0.6);
+            fleet.run(20, rate * 5.0);
+            let beyond = fleet.most_beyond();
+            assert!(beyond <= 0.0, "{rate}: {beyond} beyond the bound");
+            let quota = rate * 20.0 + fleet.terms.burst;
+            let used = fleet.admitted_since(10) / quota;
+            assert!(used >= 0.9, "{rate}: {used} of the quota was used");
+        }
+    }
+}
+
+// A sixth of the fleet is cut off from the rest while an account sends five times its quota on both
+// sides. Each side has a keeper, and both together keep to the quota.
+#[test]
+fn two_sides_of_a_cut_share_the_quota() {
+    for rate in RATES {
+        let mut fleet = QuotaFleet::new(96, rate, 4);
+        fleet.run(10, rate * 0.6);
+        fleet.cut = 16;
+        fleet.run(20, rate * 5.0);
+        let beyond = fleet.most_beyond();
+        assert!(beyond <= 0.0, "{rate}: {beyond} beyond the bound");
+    }
+}
+
+// The account calms down, and its callers are no longer refused within two seconds.
+#[test]
+fn an_account_that_calms_down_is_free_again() {
+    let mut fleet = QuotaFleet::new(96, 40.0, 5);
+    fleet.run(10, 200.0);
+    fleet.run(4, 20.0);
+    let (asked, admitted) = (fleet.asked, fleet.admitted.len());
+    fleet.run(10, 20.0);
+    let refused =
+        (fleet.asked - asked) - u64::try_from(fleet.admitted.len() - admitted).expect("small");
+    assert_eq!(refused, 0);
+}
--- a/crates/policy/src/mechanisms.rs
+++ b/crates/policy/src/mechanisms.rs
@@ -31,6 +31,8 @@
     BesideBudget,
     /// Upstreams in the own failure domain go first.
     NearFirst,
+    /// Client accounts are held to their quotas.
+    AccountQuotas,
 }
 
 /// Settings of the mechanisms.
