Detection learns how runs end in a fault; early errors are told from late ones

Cause: the breaker took a failing server to answer a tenth of its runs with an error, and counted errors of faults as a sound server's, so that each made the next say less.

--- a/crates/engine/src/ending.rs
+++ b/crates/engine/src/ending.rs
@@ -30,6 +30,17 @@
     CallerGone,
 }
 
+impl RequestEnd {
+    /// Whether the caller got no good answer.
+    fn is_failure(&self) -> bool {
+        match self {
+            Self::Replied(status) => *status >= SERVER_ERROR,
+            Self::Refused(_) => true,
+            Self::CallerGone => false,
+        }
+    }
+}
+
 impl NodeEngine {
     pub(crate) fn on_attempt_ended(
         &mut self,
@@ -373,6 +384,9 @@
         if let RequestEnd::Refused(refusal) = &end {
             self.give_quota_back(&state, refusal);
         }
+        if state.account.is_none() && end.is_failure() {
+            self.call_failed = Some(now);
+        }
         let label = Arc::clone(&state.caller.label);
         let service = state.rule.service.clone();
         for attempt in state.open {
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -315,6 +315,7 @@
         self.note_done(now, report, out);
         let told = self.works.get(&work).is_some_and(|state| state.broke);
         let kind = (!told).then(|| kind_of(report));
+        let kind = kind.filter(|kind| !self.explains_error(now, work, *kind));
         self.tell_breaker(now, work, kind, out);
         self.observe_here(now, report);
         match report.end {
--- a/crates/engine/src/holding.rs
+++ b/crates/engine/src/holding.rs
@@ -23,6 +23,10 @@
 /// are suspect: a caller is better told that it has not run when less than half of it would end well.
 const INSIST_MOST: f64 = 0.75;
 
+/// How long after the failed answer to a call an error of the backend server that made it is explained by
+/// that: a backend server answers at once when a call that it needs fails, from the same instance.
+const EXPLAINED_FOR: Duration = Duration::from_millis(20);
+
 impl NodeEngine {
     /// Under customers' contracts the callers' view decides alone, as their tests measure it.
     pub(crate) fn passes_breaker(&mut self, now: Duration, work: WorkId) -> bool {
@@ -107,6 +111,26 @@
         self.tell_breaker(now, work, Some(SampleKind::ConnectionLost), out);
     }
 
+    /// Whether a run ended with an error because a call of its own failed.
+    ///
+    /// Failure: a backend server answers an error when a service that it calls failed. Its neighbours do
+    /// the same, and all servers of a sound service are held off for the faults of another. The node beside
+    /// it gave that call its final answer a moment before, so the error is explained.
+    pub(crate) fn explains_error(&mut self, now: Duration, work: WorkId, kind: SampleKind) -> bool {
+        let called = self.call_failed.filter(|at| now < *at + EXPLAINED_FOR);
+        let started = self.works.get(&work).map(|state| state.started);
+        let within = called.zip(started).is_some_and(|(at, since)| at >= since);
+        let explained = self.has_fleet_form() && kind == SampleKind::Failed && within;
+        if explained
+            && let Some(state) = self.works.get(&work)
+            && let Some(upstream) = self.upstreams.get_mut(&state.offer.slot)
+        {
+            upstream.breaker.ended_unjudged(work.0);
+            self.call_failed = None;
+        }
+        explained
+    }
+
     /// Tells the breaker how work ended; `kind` is none when it ended without a run.
     pub(crate) fn tell_breaker(
         &mut self,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -148,6 +148,9 @@
     /// Since when this node leaves.
     pub(crate) draining: Option<Duration>,
     pub(crate) last_request: Duration,
+    /// When a request without an account, which may be a call of the backend server beside this node, got a
+    /// failure as its answer.
+    pub(crate) call_failed: Option<Duration>,
     pub(crate) handover: HandoverState,
     leaving_ticks: u32,
     /// Whether peers were told that this node ended.
@@ -219,6 +222,7 @@
             next_anchor: Duration::ZERO,
             draining: None,
             last_request: Duration::ZERO,
+            call_failed: None,
             handover: HandoverState::default(),
             leaving_ticks: 0,
             departed: false,
--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::end_shares::{EndShares, RunEnd};
 use crate::run_times::RunTimes;
 use crate::sample::SampleKind;
 
@@ -49,18 +50,8 @@
 /// What open runs beyond the oldest add: a pause of the whole server makes all of them late at once,
 /// so each further one says less.
 const FURTHER_SHARE: f64 = 0.5;
-/// Chance that a failing server loses the connection or garbles the reply of a run.
-const LOSS_CHANCE: f64 = 0.5;
-/// Chance that a failing server answers a run with an error.
-const ERROR_CHANCE: f64 = 0.11;
-/// A whole reply: a failing server gives one in two to one in six times.
-const SERVED_RATIO: f64 = -1.0;
-/// Runs of a sound server that end in a lost connection, and in an error, before any were counted.
-const USUAL_LOSSES: f64 = 0.002;
-/// See [`USUAL_LOSSES`].
-const USUAL_ERRORS: f64 = 0.01;
-/// Runs that these shares count for until enough were seen.
-const SHARE_RUNS: f64 = 30.0;
+/// Share of the runs of a kind that end sooner than what counts as an early end.
+const EARLY_SHARE: f64 = 0.05;
 /// Runs over which they are learned and forgotten.
 const SHARE_MEMORY: f64 = 200.0;
 /// Time constant with which the odds return to the usual ones until faults were seen to end: the
@@ -101,8 +92,7 @@
     usual: f64,
     open: BTreeMap<u64, OpenRun>,
     times: RunTimes,
-    losses: EndShare,
-    errors: EndShare,
+    ends: EndShares,
     /// Of the bad ends of a failing server, those without an answer.
     silent: EndShare,
     trials: u32,
@@ -127,7 +117,7 @@
     counted: Option<f64>,
 }
 
-/// Share of the runs of a sound server that end in one way.
+/// A share that is learned.
 #[derive(Clone, Copy, Debug)]
 struct EndShare {
     share: f64,
@@ -155,8 +145,7 @@
             usual: USUAL_CHANCE,
             open: BTreeMap::new(),
             times: RunTimes::default(),
-            losses: EndShare::new(USUAL_LOSSES, SHARE_RUNS),
-            errors: EndShare::new(USUAL_ERRORS, SHARE_RUNS),
+            ends: EndShares::new(),
             silent: EndShare::new(SILENT_SHARE, SILENT_RUNS),
             trials: 0,
             last_trial: None,
@@ -261,27 +250,24 @@
         self.age(now);
         let ended = self.open.remove(&run);
         let counted = ended.and_then(|run| run.counted);
-        let ratio = match kind {
+        let end = self.end_of(now, ended, kind);
+        let ratio = match (end, kind) {
             // A reply, however late, takes back what the age of its run said.
-            SampleKind::Served => SERVED_RATIO - counted.unwrap_or(0.0),
+            (Some(RunEnd::Served), _) => self.ends.ratio(RunEnd::Served) - counted.unwrap_or(0.0),
             _ if counted.is_some() => 0.0,
-            SampleKind::Failed => self.errors.ratio(ERROR_CHANCE),
-            SampleKind::Wrong | SampleKind::ConnectionLost | SampleKind::Crashed => {
-                self.losses.ratio(LOSS_CHANCE)
-            }
-            SampleKind::Silent | SampleKind::Cancelled => {
-                ended.map_or(0.0, |run| self.age_ratio(now, run))
-            }
+            (Some(end), _) => self.ends.ratio(end),
             // A server that sheds part of its work loses none of it: what it turns away goes elsewhere.
             // Counted as failing, all servers of a service that sheds as a whole are held off, and
             // a fifth more of its requests are refused.
-            SampleKind::Refused => return,
+            (None, SampleKind::Refused) => return,
+            (None, _) => ended.map_or(0.0, |run| self.age_ratio(now, run)),
         };
         self.take_ratio(ratio);
-        // The first bad end of a fault is counted by what it made of the odds: counted as one of a
-        // sound server, every fault would make the next one harder to see.
         let failing = chance_of(self.odds);
-        self.learn(now, ended, kind, 1.0 - failing);
+        if let Some(end) = end {
+            self.ends.learn(end, failing);
+        }
+        self.learn_time(now, ended, kind, 1.0 - failing);
         let lost = is_loss(kind);
         if lost || (kind != SampleKind::Failed && ratio >= HUNG_RATIO) {
             self.silent.learn(!lost, failing);
@@ -289,11 +275,34 @@
         self.follow_fault(now, kind, ratio);
     }
 
-    /// What a run that ended tells of how sound runs end.
-    fn learn(&mut self, now: Duration, run: Option<OpenRun>, kind: SampleKind, sound: f64) {
-        self.losses.learn(is_loss(kind), sound);
-        self.errors.learn(kind == SampleKind::Failed, sound);
-        let replied = matches!(kind, SampleKind::Served | SampleKind::Failed);
+    /// Notes that a run ended in a way that tells nothing of the server: with an error because a call of
+    /// its own had failed.
+    pub fn ended_unjudged(&mut self, run: u64) {
+        self.open.remove(&run);
+    }
+
+    /// How a run ended; none for one that ended without a reply of any kind.
+    fn end_of(&self, now: Duration, run: Option<OpenRun>, kind: SampleKind) -> Option<RunEnd> {
+        match kind {
+            SampleKind::Served => Some(RunEnd::Served),
+            SampleKind::Failed if self.is_early(now, run) => Some(RunEnd::EarlyError),
+            SampleKind::Failed => Some(RunEnd::LateError),
+            _ => is_loss(kind).then_some(RunEnd::Loss),
+        }
+    }
+
+    /// Whether a run ends sooner than nearly all of its kind that did their work.
+    fn is_early(&self, now: Duration, run: Option<OpenRun>) -> bool {
+        run.is_some_and(|run| {
+            let took = now.saturating_sub(run.since);
+            1.0 - self.times.survival(run.kind, took) <= EARLY_SHARE
+        })
+    }
+
+    /// What a run that ended tells of how long sound runs last.
+    fn learn_time(&mut self, now: Duration, run: Option<OpenRun>, kind: SampleKind, sound: f64) {
+        let early = kind == SampleKind::Failed && self.is_early(now, run);
+        let replied = matches!(kind, SampleKind::Served | SampleKind::Failed) && !early;
         if let Some(run) = run.filter(|_| replied) {
             let took = now.saturating_sub(run.since);
             self.times.learn(run.kind, took, sound);
@@ -400,12 +409,6 @@
         let seen = f64::from(u8::from(hit));
         self.share += (seen - self.share) * sound / self.runs;
     }
-
-    /// What such an end says when a failing server ends a run so with this chance; never that the
-    /// server is sound.
-    fn ratio(&self, failing: f64) -> f64 {
-        (failing / self.share.max(1e-4)).ln().max(0.0)
-    }
 }
 
 /// Whether a run ended without a whole reply of its own, and said so.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod breaker;
 mod choice;
 mod eject;
+mod end_shares;
 mod exchange;
 mod flight;
 mod floor;
--- a/crates/policy/tests/breaker.rs
+++ b/crates/policy/tests/breaker.rs
@@ -304,3 +304,111 @@
     }
     assert!(!breaker.is_suspect(at(21_700)));
 }
+
+/// Work of a breaker in a service whose servers fail by turns: six seconds whole, three seconds in which
+/// 17 of 20 requests are answered with an error within some ms. Nine requests a second come, half of them
+/// repeatable; whole runs take 300 ms. Gives the errors that work which must not repeat met, by fault.
+fn errors_met_by_fault(faults: u64) -> Vec<u64> {
+    let mut breaker = UpstreamBreaker::new(at(0));
+    breaker.set_usual(0.3);
+    let mut met = Vec::new();
+    let mut run = 0;
+    for fault in 0..faults {
+        let mut errors = 0;
+        for step in 0..80 {
+            let now = at(fault * 9_000 + step * 111);
+            run += 1;
+            let repeatable = run % 2 == 0;
+            let verdict = breaker.admit(now, repeatable);
+            if verdict == BreakerVerdict::Held {
+                continue;
+            }
+            breaker.started(now, run, 1, Duration::from_secs(3));
+            let fails = step >= 54 && run % 20 < 17;
+            let (took, end) = if fails {
+                (at(2), SampleKind::Failed)
+            } else {
+                (at(250 + run % 5 * 30), SampleKind::Served)
+            };
+            errors += u64::from(fails && !repeatable);
+            breaker.ended(now + took, run, end);
+            if verdict == BreakerVerdict::Trial {
+                breaker.trial_ended();
+            }
+        }
+        met.push(errors);
+    }
+    met
+}
+
+/// Bookings are lost on a server that answers errors at once. Faults come again and again, and what they
+/// look like must not come to be taken for what is usual: in each of them, the tenth as in the first, at
+/// most two bookings are lost before work that must not repeat stays away.
+#[test]
+fn early_errors_hold_work_off_in_every_fault() {
+    let met = errors_met_by_fault(10);
+    assert!(met.iter().all(|errors| *errors <= 2), "{met:?}");
+}
+
+/// A server's requests fail with an error now and then, after their work. One error as late as that holds
+/// nothing off; one that comes before any work could be done does.
+#[test]
+fn an_early_error_says_more_than_a_late_one() {
+    let suspect_after = |took: u64| {
+        let mut breaker = UpstreamBreaker::new(at(0));
+        learn(&mut breaker, 1, 50);
+        breaker.started(at(21_000), 100, 1, Duration::from_secs(3));
+        breaker.ended(at(21_000 + took), 100, SampleKind::Failed);
+        breaker.is_suspect(at(21_000 + took))
+    };
+    assert!(suspect_after(2));
+    assert!(!suspect_after(140));
+}
+
+/// A server fails by answering errors after their work, as those do whose disk or database fails. No
+/// early error ever comes; a few faults teach its node that such errors are what its faults look like.
+#[test]
+fn what_faults_look_like_is_learned() {
+    let odds_after_one = |faults: u64| {
+        let mut breaker = UpstreamBreaker::new(at(0));
+        let mut now = 0;
+        let mut run = 0;
+        for _ in 0..faults {
+            for step in 0..40 {
+                run += 1;
+                breaker.started(at(now), run, 1, Duration::from_secs(3));
+                now += 250 + step % 5 * 30;
+                let kind = if step >= 30 {
+                    SampleKind::Failed
+                } else {
+                    SampleKind::Served
+                };
+                breaker.ended(at(now), run, kind);
+            }
+        }
+        busy(&mut breaker, now, 20);
+        now += 4_000;
+        let before = breaker.odds(at(now));
+        breaker.started(at(now), run + 1, 1, Duration::from_secs(3));
+        breaker.ended(at(now + 300), run + 1, SampleKind::Failed);
+        breaker.odds(at(now + 300)) - before
+    };
+    let (first, sixth) = (odds_after_one(0), odds_after_one(6));
+    assert!(sixth > first + 0.5, "{first} and {sixth} nats");
+}
+
+/// An error that a failed call of the server's own explains says nothing of the server, and leaves no run
+/// open either.
+#[test]
+fn an_explained_error_tells_nothing() {
+    let odds_after = |explained: u64| {
+        let mut breaker = UpstreamBreaker::new(at(0));
+        learn(&mut breaker, 1, 50);
+        for run in 0..explained {
+            breaker.started(at(21_000), 100 + run, 1, Duration::from_secs(3));
+            breaker.ended_unjudged(100 + run);
+        }
+        breaker.odds(at(23_000)).to_bits()
+    };
+    assert_eq!(odds_after(4), odds_after(0));
+}
