Under load: one lane beside a server, sooner trials where errors come at once, calls of repeats bounded

What fell first were the calls, which a run waits for: queued by account, they shared one lane among 82. Servers that are whole again stood idle for a second and more. Change: under a fleet contract all work waits in one lane by priority and deadline; the pause between trials follows the time that bad runs take; call_rates learns which work makes calls, calls of repeats are charged by it, and repeats of such work have a pot of their own.

--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -194,7 +194,7 @@
             }
             NodeCommand::Dispatch(order) => {
                 let request = order.attempt.request;
-                self.tell_caller(request, CallerCommand::Dispatch(Box::new(order)));
+                self.tell_caller(request, CallerCommand::Dispatch(order));
             }
             NodeCommand::CancelAttempt { attempt } => {
                 self.tell_caller(attempt.request, CallerCommand::Cancel(attempt.number));
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -34,7 +34,7 @@
         limit: u64,
     },
     /// Carry out an attempt.
-    Dispatch(AttemptOrder),
+    Dispatch(Box<AttemptOrder>),
     /// Stop an attempt; its end is not reported.
     CancelAttempt {
         /// The attempt.
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -224,7 +224,7 @@
                 .get(&order.service)
                 .and_then(|pool| pool.view_of(now, upstream)),
         }));
-        out.push(NodeCommand::Dispatch(order));
+        out.push(NodeCommand::Dispatch(Box::new(order)));
     }
 
     pub(crate) fn arm_hedge(&mut self, now: Duration, id: RequestId) {
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
+use sycamorelink_contract::FLEET_CUSTOMER;
 use sycamorelink_core::{
-    AttemptId, InstanceId, RefusalCode, RequestRefusal, ServiceName, UpstreamId,
+    AttemptId, CustomerName, InstanceId, RefusalCode, RequestRefusal, ServiceName, UpstreamId,
 };
 use sycamorelink_guard::{DispatchTicket, GuardEvent, WorkOutcome};
 use sycamorelink_limits::{CrashCheck, GateCommand, GateDecision, GateLoad, WorkClass, WorkId};
@@ -48,7 +49,9 @@
         let service = state.offer.service.clone();
         let attempt = state.offer.attempt;
         let signature = state.signature();
-        if state.offer.arrival == ArrivalKind::Repeat && !self.take_repeat(now, slot) {
+        if state.offer.arrival == ArrivalKind::Repeat
+            && !self.take_repeat(now, slot, state.offer.kind)
+        {
             let refusal = RequestRefusal::not_run(RefusalCode::RepeatsSpent);
             let load = self.load_of(slot);
             out.push(NodeCommand::RefuseWork {
@@ -127,13 +130,24 @@
         self.ask_gate(now, work, out);
     }
 
+    /// Under a fleet contract all work waits in one lane, by priority and deadline.
+    ///
+    /// Failure: work is queued by client account, and the calls that backend servers make, which belong to
+    /// none, share one lane among eighty. They are turned away first though a run waits for each of them.
+    /// Quotas hold accounts apart.
     fn ask_gate(&mut self, now: Duration, work: WorkId, out: &mut Vec<NodeCommand>) {
+        let fleet = self.has_fleet_form();
         let Some(state) = self.works.get_mut(&work) else {
             return;
         };
         state.phase = WorkPhase::Queued;
+        let lane = if fleet {
+            CustomerName::new(FLEET_CUSTOMER)
+        } else {
+            state.offer.customer.clone()
+        };
         let class = WorkClass {
-            customer: state.offer.customer.clone(),
+            customer: lane,
             priority: state.offer.priority,
             deadline: state.deadline,
             expected: Duration::ZERO,
@@ -331,7 +345,10 @@
             _ => {}
         }
         self.settle_work(now, work, outcome_of(report), out);
-        self.works.remove(&work);
+        if let Some(state) = self.works.remove(&work) {
+            let took = now.saturating_sub(state.started).as_secs_f64();
+            self.call_rates.ran(state.offer.kind, took);
+        }
         self.note_if_idle(slot, out);
         let mut commands = Vec::new();
         if let Some(upstream) = self.upstreams.get_mut(&slot) {
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -105,7 +105,7 @@
             .time_left
             .map_or(rule.deadline, |left| left.min(rule.deadline));
         let idempotent = rule.repeat == RepeatClass::Idempotent;
-        let first_arrival = self.first_arrival(&rule.service);
+        let first_arrival = self.first_arrival(&rule.service, account.is_some());
         let signature = CrashSignature::of(
             rule.terms.customer.as_str(),
             &format!("{} {}", caller.method, caller.target),
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -12,7 +12,7 @@
 use sycamorelink_limits::{
     CrashRegistry, CustomerIndex, RetryBudget, ShareMember, ShareNode, SlotGate, WorkId,
 };
-use sycamorelink_policy::{ServicePool, UpstreamBreaker};
+use sycamorelink_policy::{CallRates, ServicePool, UpstreamBreaker};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
 
 use crate::command::NodeCommand;
@@ -21,6 +21,7 @@
 use crate::fencing::FenceMark;
 use crate::fleet::FleetState;
 use crate::quotas::QuotaState;
+use crate::repeats::RepeatPots;
 use crate::request::{RequestState, WorkState};
 use crate::settings::EngineSettings;
 use crate::standing::ToldStanding;
@@ -54,7 +55,7 @@
     pub(crate) gate: SlotGate,
     pub(crate) breaker: UpstreamBreaker,
     /// Repeats that it may be handed; none before the first.
-    pub(crate) repeats: Option<RetryBudget>,
+    pub(crate) repeats: Option<RepeatPots>,
     /// What callers' nodes were last told of it.
     pub(crate) told: Option<ToldStanding>,
     /// When the announcement lapses unless it is renewed.
@@ -148,6 +149,8 @@
     /// Since when this node leaves.
     pub(crate) draining: Option<Duration>,
     pub(crate) last_request: Duration,
+    /// Which work of the backend servers beside this node makes calls.
+    pub(crate) call_rates: CallRates,
     /// When a request without an account, which may be a call of the backend server beside this node, got a
     /// failure as its answer.
     pub(crate) call_failed: Option<Duration>,
@@ -222,6 +225,7 @@
             next_anchor: Duration::ZERO,
             draining: None,
             last_request: Duration::ZERO,
+            call_rates: CallRates::default(),
             call_failed: None,
             handover: HandoverState::default(),
             leaving_ticks: 0,
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -16,13 +16,31 @@
 use rand::Rng;
 use sycamorelink_core::ServiceName;
 use sycamorelink_limits::{BudgetPart, BudgetSettings, RetryBudget, WorkId};
-use sycamorelink_policy::PolicyMechanism;
+use sycamorelink_policy::{OpenWork, PolicyMechanism};
 
 use crate::budgets::percent_of;
 use crate::event::ArrivalKind;
 use crate::node::NodeEngine;
 use crate::request::WorkPhase;
 
+/// Repeats that a backend server may be handed.
+#[derive(Debug)]
+pub(crate) struct RepeatPots {
+    /// Of all work.
+    all: RetryBudget,
+    /// Of work that makes calls, which takes from both.
+    calling: RetryBudget,
+}
+
+impl RepeatPots {
+    fn new(settings: &BudgetSettings) -> Self {
+        Self {
+            all: RetryBudget::new(settings),
+            calling: RetryBudget::new(settings),
+        }
+    }
+}
+
 impl NodeEngine {
     /// Whether repeats are counted beside the backend servers.
     pub(crate) fn counts_repeats_beside(&self) -> bool {
@@ -34,8 +52,27 @@
     /// Failure: repeats are counted when the server is handed them, several wait for a slot at the
     /// same time on the word that one is left, and the fleet goes beyond its bound. What waits has
     /// taken its part, and gives it back when it is not handed on.
-    pub(crate) fn take_repeat(&mut self, now: Duration, slot: u16) -> bool {
-        !self.counts_repeats_beside() || self.pot(now, slot).is_none_or(|pot| pot.withdraw(now))
+    ///
+    /// Failure: most of a service's requests are bookings, which are never repeated, and all of the bound is
+    /// used for look-ups. Each of these calls a smaller service, and the calls of the repeated ones alone go
+    /// beyond what that one may be repeated. So work that makes calls has a second pot, to which only such
+    /// work adds: the calls of its repeats are then as small a part of all calls.
+    pub(crate) fn take_repeat(&mut self, now: Duration, slot: u16, kind: u64) -> bool {
+        if !self.counts_repeats_beside() {
+            return true;
+        }
+        let calls = self.call_rates.makes_calls(kind);
+        let Some(pots) = self.pots(now, slot) else {
+            return true;
+        };
+        if calls && !pots.calling.withdraw(now) {
+            return false;
+        }
+        let taken = pots.all.withdraw(now);
+        if calls && !taken {
+            pots.calling.refund(now);
+        }
+        taken
     }
 
     /// Gives back what work took that is not handed to its server.
@@ -44,13 +81,17 @@
         let unused = state.filter(|state| {
             state.offer.arrival == ArrivalKind::Repeat && state.phase != WorkPhase::Running
         });
-        let Some(slot) = unused.map(|state| state.offer.slot) else {
+        let Some((slot, kind)) = unused.map(|state| (state.offer.slot, state.offer.kind)) else {
             return;
         };
+        let calls = self.call_rates.makes_calls(kind);
         if self.counts_repeats_beside()
-            && let Some(pot) = self.pot(now, slot)
+            && let Some(pots) = self.pots(now, slot)
         {
-            pot.refund(now);
+            pots.all.refund(now);
+            if calls {
+                pots.calling.refund(now);
+            }
         }
     }
 
@@ -59,16 +100,20 @@
         let Some(offer) = self.works.get(&work).map(|state| &state.offer) else {
             return;
         };
-        let (slot, arrival) = (offer.slot, offer.arrival);
+        let (slot, arrival, kind) = (offer.slot, offer.arrival, offer.kind);
         if arrival == ArrivalKind::Repeat || !self.counts_repeats_beside() {
             return;
         }
-        let Some(pot) = self.pot(now, slot) else {
+        let calls = self.call_rates.makes_calls(kind);
+        let Some(pots) = self.pots(now, slot) else {
             return;
         };
-        pot.deposit(now);
+        pots.all.deposit(now);
+        if calls {
+            pots.calling.deposit(now);
+        }
         if arrival == ArrivalKind::CalledByRepeat {
-            pot.charge(now);
+            pots.all.charge(now);
         }
     }
 
@@ -78,27 +123,30 @@
     /// Failure: a large service calls a small one. Its repeated runs call once more, those calls count as
     /// repeats of the small service, and together with that service's own they go beyond its bound. Nothing
     /// in a call tells which run makes it, so of the requests to other services that begin beside a server
-    /// as many are charged as of its runs are repeats: on average what is owed, and rather more, since
-    /// callers of this node are among them.
-    pub(crate) fn first_arrival(&mut self, service: &ServiceName) -> ArrivalKind {
-        if !self.counts_repeats_beside() || self.runs(service) {
+    /// as many are charged as of its runs of such work are repeats: on average what is owed, and rather
+    /// more, since callers of this node are among them where they bring no key of an account.
+    pub(crate) fn first_arrival(&mut self, service: &ServiceName, keyed: bool) -> ArrivalKind {
+        if !self.counts_repeats_beside() || self.runs(service) || keyed {
             return ArrivalKind::First;
         }
         let running = self.works.values();
         let running = running.filter(|state| state.phase == WorkPhase::Running);
-        let (runs, repeats) = running.fold((0_u32, 0_u32), |(runs, repeats), state| {
-            let repeat = state.offer.arrival == ArrivalKind::Repeat;
-            (runs + 1, repeats + u32::from(repeat))
-        });
-        if repeats > 0 && self.fleet.random.random_ratio(repeats, runs) {
+        let open: Vec<OpenWork> = running
+            .map(|state| OpenWork {
+                kind: state.offer.kind,
+                repeat: state.offer.arrival == ArrivalKind::Repeat,
+            })
+            .collect();
+        let by_repeats = self.call_rates.called(&open);
+        if by_repeats > 0.0 && self.fleet.random.random::<f64>() < by_repeats {
             ArrivalKind::CalledByRepeat
         } else {
             ArrivalKind::First
         }
     }
 
-    /// The pot of a backend server, with its part of what the service may be repeated besides.
-    fn pot(&mut self, now: Duration, slot: u16) -> Option<&mut RetryBudget> {
+    /// The pots of a backend server, with its part of what the service may be repeated besides.
+    fn pots(&mut self, now: Duration, slot: u16) -> Option<&mut RepeatPots> {
         let service = self.upstreams.get(&slot)?.announced.service.clone();
         let part = self.part_of(now, &service);
         let (contract, _) = self.fleet.known.as_ref()?;
@@ -108,11 +156,12 @@
             ..BudgetSettings::default()
         };
         let upstream = self.upstreams.get_mut(&slot)?;
-        let pot = upstream
+        let pots = upstream
             .repeats
-            .get_or_insert_with(|| RetryBudget::new(&settings));
-        pot.set_part(part);
-        Some(pot)
+            .get_or_insert_with(|| RepeatPots::new(&settings));
+        pots.all.set_part(part);
+        pots.calling.set_part(part);
+        Some(pots)
     }
 
     /// This server's part of the bound. What has to be left for a repeat is drawn anew from time to time,
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -433,7 +433,7 @@
                 };
                 self.schedule(Duration::ZERO, Happening::Event(id, Box::new(event)));
             }
-            NodeCommand::Dispatch(order) => self.offer(id, order),
+            NodeCommand::Dispatch(order) => self.offer(id, *order),
             NodeCommand::RunWork { work, .. } => {
                 let script = self.script(id);
                 let starts = !self.down.contains(&id) && script.end != WorkEnd::NotStarted;
--- a/crates/limits/src/quota/keeper.rs
+++ b/crates/limits/src/quota/keeper.rs
@@ -43,6 +43,24 @@
     told: Option<(f64, Duration)>,
 }
 
+/// What is to be told of an account.
+#[derive(Clone, Copy, Debug)]
+enum KeptNews {
+    /// It is within its quota again.
+    Free,
+    /// This share of its requests is admitted.
+    Shared(f64),
+}
+
+impl KeptNews {
+    const fn share(self) -> Option<f64> {
+        match self {
+            Self::Free => None,
+            Self::Shared(share) => Some(share),
+        }
+    }
+}
+
 impl QuotaKeeper {
     /// A keeper of no accounts.
     #[must_use]
@@ -70,7 +88,7 @@
             .retain(|_, kept| kept.told.is_some() || now < kept.at + FORGET_AFTER);
         let accounts = self.accounts.iter_mut();
         let news = accounts.filter_map(|(account, kept)| {
-            let share = kept.news(now)?;
+            let share = kept.news(now)?.share();
             Some(ShareNews {
                 account: *account,
                 share,
@@ -100,8 +118,7 @@
         self.at = now;
     }
 
-    /// The share to tell, if it is to be told; none within for an account that is free again.
-    fn news(&mut self, now: Duration) -> Option<Option<f64>> {
+    fn news(&mut self, now: Duration) -> Option<KeptNews> {
         if self.told.is_none() && self.asked < 1.0 {
             return None;
         }
@@ -116,7 +133,7 @@
         };
         if demand < spendable * RELEASE_PART {
             self.told = None;
-            return Some(None);
+            return Some(KeptNews::Free);
         }
         let share = (spendable / demand).min(1.0);
         let moved = (share - told).abs() > NEWS_STEP * told.max(share);
@@ -124,8 +141,8 @@
         due.then(|| self.tell(now, share))
     }
 
-    fn tell(&mut self, now: Duration, share: f64) -> Option<f64> {
+    fn tell(&mut self, now: Duration, share: f64) -> KeptNews {
         self.told = Some((share, now));
-        Some(share)
+        KeptNews::Shared(share)
     }
 }
--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -81,6 +81,17 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(1750);
 /// Longest time between the first trials of a fault.
 const FIRST_PAUSE: Duration = Duration::from_millis(1500);
+/// Time that a bad run takes, in seconds, for which the pauses above are made: its caller waits so long
+/// before it is sent elsewhere.
+const WHOLE_TRIAL_COST: f64 = 1.0;
+/// Least part of the pauses. A trial that fails within some ms costs its caller next to nothing, and what
+/// is lost is a repeat: at this part a server takes three of its service's bound in a second.
+///
+/// Failure: a third of the servers fail by turns for some seconds each, and each is held off for another
+/// second and more until its next trial. Under load a third of the whole capacity stands idle for that.
+const LEAST_PAUSE_PART: f64 = 0.2;
+/// Weight of one more bad run in what is learned of the time that they take.
+const COST_STEP: f64 = 0.2;
 
 /// What the node beside a backend server lets through.
 #[derive(Clone, Debug)]
@@ -100,6 +111,8 @@
     last_trial: Option<Duration>,
     /// Trials in a row that went badly.
     failed_trials: u32,
+    /// Time that a bad run takes, in seconds.
+    bad_time: f64,
     return_time: Duration,
     /// When the present fault began.
     fault_since: Option<Duration>,
@@ -150,6 +163,7 @@
             trials: 0,
             last_trial: None,
             failed_trials: 0,
+            bad_time: WHOLE_TRIAL_COST,
             return_time: FIRST_RETURN,
             fault_since: None,
             served: 0,
@@ -222,7 +236,12 @@
         let ratio = self.age_ratio(now, run);
         self.take_ratio(ratio);
         self.silent.learn(true, chance_of(self.odds));
-        self.follow_fault(now, SampleKind::Silent, ratio);
+        self.follow_fault(
+            now,
+            SampleKind::Silent,
+            ratio,
+            now.saturating_sub(run.since),
+        );
         let counted = Some(ratio);
         self.open.insert(id, OpenRun { counted, ..run });
     }
@@ -272,7 +291,9 @@
         if lost || (kind != SampleKind::Failed && ratio >= HUNG_RATIO) {
             self.silent.learn(!lost, failing);
         }
-        self.follow_fault(now, kind, ratio);
+        // One whose begin is not known is taken for a whole one.
+        let took = ended.map_or(Duration::from_secs(1), |run| now.saturating_sub(run.since));
+        self.follow_fault(now, kind, ratio, took);
     }
 
     /// Notes that a run ended in a way that tells nothing of the server: with an error because a call of
@@ -310,7 +331,7 @@
     }
 
     /// Learns how long faults last, and counts failed trials.
-    fn follow_fault(&mut self, now: Duration, kind: SampleKind, ratio: f64) {
+    fn follow_fault(&mut self, now: Duration, kind: SampleKind, ratio: f64, took: Duration) {
         if kind == SampleKind::Served {
             self.failed_trials = 0;
             self.served += 1;
@@ -321,6 +342,7 @@
                 self.learn_length(now.saturating_sub(since));
             }
         } else if ratio > 0.0 {
+            self.bad_time += (took.as_secs_f64() - self.bad_time) * COST_STEP;
             self.served = 0;
             self.failed_trials += u32::from(self.trials > 0);
             if self.odds >= self.suspect_odds() {
@@ -335,11 +357,12 @@
         self.return_time = self.return_time.mul_f64(ratio.powf(RETURN_WEIGHT));
     }
 
-    /// The pause doubles with each further trial that goes badly.
+    /// The pause doubles with each further trial that goes badly, and is shorter where bad runs end soon.
     fn trial_pause(&self) -> Duration {
         let factor = 1_u32 << self.failed_trials.saturating_sub(1).min(MOST_DOUBLINGS);
         let first = self.return_time.mul_f64(TRIAL_SHARE).min(FIRST_PAUSE);
-        (first * factor).min(LONGEST_PAUSE)
+        let part = (self.bad_time / WHOLE_TRIAL_COST).clamp(LEAST_PAUSE_PART, 1.0);
+        (first * factor).min(LONGEST_PAUSE).mul_f64(part)
     }
 
     /// Whether work that must not repeat stays away.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod baseline;
 mod breaker;
+mod call_rates;
 mod choice;
 mod eject;
 mod end_shares;
@@ -44,6 +45,7 @@
 mod weight;
 
 pub use breaker::{BreakerVerdict, UpstreamBreaker};
+pub use call_rates::{CallRates, OpenWork};
 pub use evidence::{EvidenceRole, EvidenceScores, UpstreamEvidence};
 pub use facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding, UpstreamView};
 pub use finding::{EjectionCause, PoolFinding};
--- a/crates/policy/tests/breaker.rs
+++ b/crates/policy/tests/breaker.rs
@@ -412,3 +412,39 @@
     };
     assert_eq!(odds_after(4), odds_after(0));
 }
+
+/// Time from the end of a fault to when work that must not repeat is admitted again, in milliseconds. The
+/// fault lasts nearly six seconds, and each bad run takes so long; a repeatable request comes every 100 ms.
+fn back_after(bad_run: u64) -> u64 {
+    let mut breaker = UpstreamBreaker::new(at(0));
+    learn(&mut breaker, 1, 50);
+    let mut run = 1_000;
+    for step in 0..200 {
+        let now = at(21_000 + step * 100);
+        let fault = step < 57;
+        if !fault && !breaker.is_suspect(now) {
+            return (step - 57) * 100;
+        }
+        if breaker.admit(now, true) == BreakerVerdict::Held {
+            continue;
+        }
+        run += 1;
+        breaker.started(now, run, 1, Duration::from_secs(3));
+        let (took, end) = if fault {
+            (bad_run, SampleKind::Failed)
+        } else {
+            (90, SampleKind::Served)
+        };
+        breaker.ended(now + at(took), run, end);
+        breaker.trial_ended();
+    }
+    u64::MAX
+}
+
+/// Servers fail by turns for some seconds each, with errors within some ms. One that is whole again must
+/// not stand idle for as long again: trials that fail at once cost nobody anything, so they come often.
+#[test]
+fn a_server_whose_errors_come_at_once_is_back_within_a_second() {
+    let back = back_after(2);
+    assert!(back <= 1_000, "{back} ms");
+}
