--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -38,13 +38,13 @@
 }
 
 impl RepeatPots {
-    fn new(settings: BudgetSettings) -> Self {
+    fn new(settings: &BudgetSettings) -> Self {
         let calling = BudgetSettings {
             percent: settings.percent * CALLING_PERCENT / 100,
-            ..settings
+            ..settings.clone()
         };
         Self {
-            all: RetryBudget::new(&settings),
+            all: RetryBudget::new(settings),
             calling: RetryBudget::new(&calling),
         }
     }
@@ -167,7 +167,7 @@
         let upstream = self.upstreams.get_mut(&slot)?;
         let pots = upstream
             .repeats
-            .get_or_insert_with(|| RepeatPots::new(settings));
+            .get_or_insert_with(|| RepeatPots::new(&settings));
         pots.all.set_part(part);
         // Failure: what each service may be repeated besides its share is used for its own repeats and, once
         // more, by calls that another service repeats. Half of it is for those.
