--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -1,4 +1,4 @@
-//! Customer shares, retry budgets, executor admission and crash-request registry.
+//! Customer shares, quotas of client accounts, retry budgets, executor admission and crash-request registry.
 //!
 //! Every module is decision logic without I/O: time is passed in as a [`std::time::Duration`]
 //! since the node started, and what should be sent comes back as commands.
