An account may use half as much beyond its quota like a burst

Change: 0.15 of what the operator allows beyond a quota may be used like its burst, 0.3 before; half of it is for what is admitted between reports, 0.7 before.

--- a/crates/limits/src/quota/settings.rs
+++ b/crates/limits/src/quota/settings.rs
@@ -11,10 +11,11 @@
 /// How many times its rate an account may ask for beyond it and still is held within the bound: the
 /// pause between two reports is made for that. Demand beyond goes over by its part of one pause.
 const SURGE: f64 = 4.0;
-/// Part of what is allowed beyond a quota that an account may use like its burst; the rest is for what is
-/// admitted between reports. A small account sends three requests at once by chance every minute, and to
-/// hold it back takes a word to each node.
-const ROOM_PART: f64 = 0.3;
+/// Part of what is allowed beyond a quota that an account may use like its burst. A small account sends
+/// three requests at once by chance every minute, and to hold it back takes a word to each node.
+const ROOM_PART: f64 = 0.15;
+/// Part of it that may be admitted between two reports; what is left is for the ways of reports and news.
+const PAUSE_PART: f64 = 0.5;
 /// Shortest pause between two reports: the step of a node's periodic work.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest: demand that is a second old says little about the next one.
@@ -49,7 +50,7 @@
     /// How long a holder may keep to itself what it admitted of an account.
     #[must_use]
     pub fn report_pause(&self, terms: QuotaTerms) -> Duration {
-        let beyond = self.beyond(terms) * (1.0 - ROOM_PART);
+        let beyond = self.beyond(terms) * PAUSE_PART;
         let pause = beyond / (SURGE * terms.rate.max(f64::MIN_POSITIVE));
         let pause = Duration::try_from_secs_f64(pause).unwrap_or(LONGEST_PAUSE);
         pause.clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
