Whether an error came early is worked out once for each end of a run

What ended early was looked up in the learned run times when the end was judged and again when its time was learned. The second follows from the first: a reply or a late error.

--- a/crates/policy/src/breaker.rs
+++ b/crates/policy/src/breaker.rs
@@ -286,7 +286,7 @@
         if let Some(end) = end {
             self.ends.learn(end, failing);
         }
-        self.learn_time(now, ended, kind, 1.0 - failing);
+        self.learn_time(now, ended, end, 1.0 - failing);
         let lost = is_loss(kind);
         if lost || (kind != SampleKind::Failed && ratio >= HUNG_RATIO) {
             self.silent.learn(!lost, failing);
@@ -321,9 +321,8 @@
     }
 
     /// What a run that ended tells of how long sound runs last.
-    fn learn_time(&mut self, now: Duration, run: Option<OpenRun>, kind: SampleKind, sound: f64) {
-        let early = kind == SampleKind::Failed && self.is_early(now, run);
-        let replied = matches!(kind, SampleKind::Served | SampleKind::Failed) && !early;
+    fn learn_time(&mut self, now: Duration, run: Option<OpenRun>, end: Option<RunEnd>, sound: f64) {
+        let replied = matches!(end, Some(RunEnd::Served | RunEnd::LateError));
         if let Some(run) = run.filter(|_| replied) {
             let took = now.saturating_sub(run.since);
             self.times.learn(run.kind, took, sound);
