Each client account has two keepers, and the lesser share that they tell holds

A keeper that is dead counts as present for seconds and its reports are lost; nodes that differ in one member have two keepers that see a half each; a node that has just become a keeper begins with a fresh bucket and does not know what was overspent. Ruled out: the constants of the reports (in virtual time the surge alone stays within the bound at 96 nodes). Change: reports go to the two nodes that rank first, each keeps a bucket, and a holder admits by the least share that a keeper told it. Nodes that differ in one member still have a keeper in common. Cost: twice the reports, of some tens of bytes each; share news of two keepers while an account is beyond its quota.

--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -303,7 +303,7 @@
                 self.on_contract_page(now, from, &ask, &page, out);
             }
             PeerMessage::FleetHead { version } => self.on_head_told(now, from, version),
-            PeerMessage::Quota(message) => self.on_quota_message(now, message),
+            PeerMessage::Quota(message) => self.on_quota_message(now, from, message),
         }
     }
 
--- a/crates/engine/src/quotas.rs
+++ b/crates/engine/src/quotas.rs
@@ -5,7 +5,7 @@
 
 use sycamorelink_contract::AccountRule;
 use sycamorelink_core::{InstanceId, RefusalCode, RequestRefusal, RunState, name_hash};
-use sycamorelink_limits::quota::keeper_of;
+use sycamorelink_limits::quota::keepers_of;
 use sycamorelink_limits::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareNews,
     UseReport,
@@ -127,9 +127,9 @@
         }
         let mut told: BTreeMap<InstanceId, Vec<UseReport>> = BTreeMap::new();
         for report in self.quotas.holder.reports(now) {
-            let keeper = keeper_of(report.account, &self.quotas.members);
-            let keeper = keeper.unwrap_or(self.own.instance);
-            told.entry(keeper).or_default().push(report);
+            for keeper in keepers_of(report.account, &self.quotas.members) {
+                told.entry(keeper).or_default().push(report);
+            }
         }
         for (keeper, reports) in told {
             if keeper == self.own.instance {
@@ -153,10 +153,11 @@
                 self.send_peer(peer, message, out);
             }
         }
-        self.take_shares(now, news);
+        self.take_shares(now, self.own.instance, news);
     }
 
-    fn present_instances(&self) -> Vec<InstanceId> {
+    /// This node and all members that are not held dead.
+    pub(crate) fn present_instances(&self) -> Vec<InstanceId> {
         let own = self.own.instance;
         let members = self.roster.members().into_iter();
         let others = members
@@ -166,10 +167,15 @@
         others.chain([own]).collect()
     }
 
-    pub(crate) fn on_quota_message(&mut self, now: Duration, message: QuotaMessage) {
+    pub(crate) fn on_quota_message(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        message: QuotaMessage,
+    ) {
         match message {
             QuotaMessage::Report(reports) => self.take_reports(now, reports),
-            QuotaMessage::Shares(news) => self.take_shares(now, news),
+            QuotaMessage::Shares(news) => self.take_shares(now, from, news),
         }
     }
 
@@ -184,9 +190,9 @@
         }
     }
 
-    fn take_shares(&mut self, now: Duration, news: Vec<ShareNews>) {
+    fn take_shares(&mut self, now: Duration, keeper: InstanceId, news: Vec<ShareNews>) {
         for news in news {
-            self.quotas.holder.told(now, news);
+            self.quotas.holder.told(now, keeper, news);
         }
     }
 }
--- a/crates/limits/src/quota/holder.rs
+++ b/crates/limits/src/quota/holder.rs
@@ -6,6 +6,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use sycamorelink_core::InstanceId;
+
 use super::{AccountId, QuotaSettings, QuotaTerms, ShareNews, UseReport};
 
 /// Requests of an account from which its report does not wait for the pause: most nodes see one of an
@@ -41,15 +43,16 @@
     pause: Duration,
     reported: Duration,
     used: Duration,
-    share: Option<HeldShare>,
+    shares: Vec<HeldShare>,
+    /// What is saved up for the next admission while only a share is admitted.
+    credit: Option<f64>,
 }
 
-/// The share of an account's requests that is admitted while it asks for more than its quota.
+/// The share of an account's requests that a keeper lets in while the account asks for more than its quota.
 #[derive(Debug)]
 struct HeldShare {
+    keeper: InstanceId,
     share: f64,
-    /// What is saved up for the next admission.
-    credit: f64,
     until: Duration,
 }
 
@@ -80,10 +83,8 @@
         held.pause = self.settings.report_pause(terms);
         held.used = now;
         held.asked = held.asked.saturating_add(1);
-        held.share.take_if(|share| now >= share.until);
-        if let Some(share) = &mut held.share {
-            share.take()?;
-        }
+        held.shares.retain(|share| now < share.until);
+        held.take_share()?;
         held.admitted = held.admitted.saturating_add(1);
         Ok(())
     }
@@ -94,9 +95,7 @@
             return;
         };
         held.admitted = held.admitted.saturating_sub(1);
-        if let Some(share) = &mut held.share {
-            share.credit = (share.credit + 1.0).min(1.0);
-        }
+        held.credit = held.credit.map(|credit| (credit + 1.0).min(1.0));
     }
 
     /// The reports that are due.
@@ -109,25 +108,24 @@
             .collect()
     }
 
-    /// Takes what the keeper of an account tells.
-    pub fn told(&mut self, now: Duration, news: ShareNews) {
+    /// Takes what a keeper of an account tells.
+    pub fn told(&mut self, now: Duration, keeper: InstanceId, news: ShareNews) {
+        if let Some(held) = self.accounts.get_mut(&news.account) {
+            held.shares.retain(|share| share.keeper.node != keeper.node);
+        }
         let share = news.share.filter(|share| (0.0..=1.0).contains(share));
         let Some(share) = share else {
-            if let Some(held) = self.accounts.get_mut(&news.account) {
-                held.share = None;
-            }
             return;
         };
         let held = self.accounts.entry(news.account);
         let held = held.or_insert_with(|| HeldAccount::new(now));
         held.used = now;
-        // Failure: all nodes begin with nothing saved up, and all admit their first request after the
-        // same number of them, a hundred at once. Each begins at a place of its own.
-        let credit = held.share.as_ref().map(|share| share.credit);
-        let credit = credit.unwrap_or_else(|| self.random.random());
-        held.share = Some(HeldShare {
+        // Nodes that all began with nothing saved up would all admit their first request after the same
+        // number of them, a hundred at once.
+        held.credit.get_or_insert_with(|| self.random.random());
+        held.shares.push(HeldShare {
+            keeper,
             share,
-            credit,
             until: now + SHARE_TIME,
         });
     }
@@ -141,7 +139,8 @@
             pause: Duration::ZERO,
             reported: now,
             used: now,
-            share: None,
+            shares: Vec::new(),
+            credit: None,
         }
     }
 
@@ -153,7 +152,7 @@
         if !self.is_unreported() {
             return false;
         }
-        let pause = if self.share.is_some() {
+        let pause = if self.credit.is_some() {
             self.pause.max(SHARED_PAUSE)
         } else if self.asked >= PROMPT_REQUESTS {
             Duration::ZERO
@@ -171,16 +170,21 @@
             admitted: std::mem::take(&mut self.admitted),
         }
     }
-}
 
-impl HeldShare {
-    fn take(&mut self) -> Result<(), Duration> {
-        self.credit += self.share;
-        if self.credit >= 1.0 {
-            self.credit -= 1.0;
+    /// Admits a request if the least share that a keeper told lets it in.
+    fn take_share(&mut self) -> Result<(), Duration> {
+        let shares = self.shares.iter().map(|held| held.share);
+        let Some(share) = shares.min_by(f64::total_cmp) else {
+            self.credit = None;
+            return Ok(());
+        };
+        let credit = self.credit.get_or_insert(0.0);
+        *credit += share;
+        if *credit >= 1.0 {
+            *credit -= 1.0;
             return Ok(());
         }
-        let wait = Duration::try_from_secs_f64(RETURN_TIME / self.share - RETURN_TIME);
+        let wait = Duration::try_from_secs_f64(RETURN_TIME / share - RETURN_TIME);
         let wait = wait.unwrap_or(LONGEST_WAIT);
         Err(wait.clamp(SHORTEST_WAIT, LONGEST_WAIT))
     }
--- a/crates/limits/src/quota/mod.rs
+++ b/crates/limits/src/quota/mod.rs
@@ -13,11 +13,11 @@
 //! quota is a fraction of a token, and nearly all accounts stay below their quota nearly always. Now
 //! and then one sends many times its usual.
 //!
-//! So every instance admits at once and tells what it admitted to the keeper of the account, one
-//! instance that all of them know by rendezvous hashing. The keeper takes it from the account's bucket,
+//! So every instance admits at once and tells what it admitted to the keepers of the account, two
+//! instances that all of them know by rendezvous hashing. A keeper takes it from the account's bucket,
 //! which may go below empty. Only when the account asks for more than the bucket will give does it tell
-//! all instances which share of the account's requests to admit. What was admitted beyond, before they
-//! knew, is taken from what is admitted in the next second.
+//! all instances which share of the account's requests to admit; the lesser of two shares holds. What was
+//! admitted beyond, before they knew, is taken from what is admitted in the next second.
 //!
 //! How far a window can go beyond the quota is thus what is admitted within one pause between reports;
 //! the pause follows from how far the operator lets it go ([`QuotaSettings::report_pause`]).
@@ -29,6 +29,8 @@
 mod keeper;
 mod settings;
 
+use std::cmp::Reverse;
+
 use serde::{Deserialize, Serialize};
 use sycamorelink_core::{InstanceId, stable_hash};
 
@@ -90,11 +92,21 @@
     Shares(Vec<ShareNews>),
 }
 
-/// The keeper of an account: of these nodes the one that ranks first for it. Two nodes that know the
-/// same others agree, and the loss of one node moves only the accounts that it kept.
+/// Keepers of an account. One that is lost is reported to until its death is known, and one that has just
+/// become a keeper does not know what was admitted before; the other then holds the account to its quota.
+const KEEPERS: usize = 2;
+
+/// The keepers of an account: of these nodes those that rank first for it. Two nodes that know the same
+/// others agree; if they differ in one, they still have a keeper in common.
 #[must_use]
-pub fn keeper_of(account: AccountId, members: &[InstanceId]) -> Option<InstanceId> {
+pub fn keepers_of(account: AccountId, members: &[InstanceId]) -> Vec<InstanceId> {
     let account = account.0.to_be_bytes();
     let rank = |member: &InstanceId| stable_hash(&[&account, &member.node.0.to_be_bytes()]);
-    members.iter().copied().max_by_key(rank)
+    let mut ranked: Vec<(u64, InstanceId)> = Vec::with_capacity(KEEPERS + 1);
+    for member in members {
+        ranked.push((rank(member), *member));
+        ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+        ranked.truncate(KEEPERS);
+    }
+    ranked.into_iter().map(|(_, member)| member).collect()
 }
--- a/crates/limits/tests/quota.rs
+++ b/crates/limits/tests/quota.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use sycamorelink_core::{InstanceId, NodeId, NodeIncarnation};
-use sycamorelink_limits::quota::keeper_of;
+use sycamorelink_limits::quota::keepers_of;
 use sycamorelink_limits::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaSettings, QuotaTerms, ShareNews, UseReport,
 };
@@ -27,7 +27,7 @@
     holders: Vec<QuotaHolder>,
     keepers: Vec<QuotaKeeper>,
     reports: Vec<(usize, usize, UseReport)>,
-    news: Vec<(usize, ShareNews)>,
+    news: Vec<(usize, InstanceId, ShareNews)>,
     random: SmallRng,
     step: u64,
     /// Milliseconds at which a request was admitted.
@@ -35,16 +35,27 @@
     asked: u64,
     /// Nodes that cannot reach those of the other side.
     cut: usize,
+    /// A node that was lost and that the others still count as present.
+    lost: Option<usize>,
+    /// A node that has joined, and how many of the others have heard of it.
+    joined: Option<(usize, usize)>,
 }
 
+/// Factor between the numbers of two nodes and their ids.
+const ID_STEP: u64 = 7919;
+
 fn instance(number: usize) -> InstanceId {
     let number = u64::try_from(number).expect("small");
     InstanceId {
-        node: NodeId(number * 7919 + 13),
+        node: NodeId(number * ID_STEP + 13),
         incarnation: NodeIncarnation(1),
     }
 }
 
+fn number_of(instance: InstanceId) -> usize {
+    usize::try_from(instance.node.0 / ID_STEP).expect("small")
+}
+
 impl QuotaFleet {
     fn new(count: usize, rate: f64, seed: u64) -> Self {
         let settings = QuotaSettings::default();
@@ -65,9 +76,32 @@
             admitted: Vec::new(),
             asked: 0,
             cut: 0,
+            lost: None,
+            joined: None,
         }
     }
 
+    /// The nodes that a node knows.
+    fn known_to(&self, node: usize) -> Vec<InstanceId> {
+        let unknown = match self.joined {
+            Some((joined, hearers)) if node >= hearers => Some(joined),
+            _ => None,
+        };
+        let known = self.side(node).filter(|other| Some(*other) != unknown);
+        known.map(|other| self.nodes[other]).collect()
+    }
+
+    /// The node that ranks first for the account.
+    fn first_keeper(&self) -> usize {
+        number_of(keepers_of(ACCOUNT, &self.nodes)[0])
+    }
+
+    /// A node starts again and knows nothing.
+    fn restart(&mut self, node: usize) {
+        self.holders[node] = QuotaHolder::new(self.settings, self.step);
+        self.keepers[node] = QuotaKeeper::new(self.settings);
+    }
+
     fn side(&self, node: usize) -> std::ops::Range<usize> {
         if node < self.cut {
             0..self.cut
@@ -108,22 +142,23 @@
     }
 
     fn tick(&mut self, now: Duration, node: usize) {
-        let side = self.side(node);
-        let keeper = keeper_of(ACCOUNT, &self.nodes[side]).expect("a node");
-        let keeper = self.nodes.iter().position(|other| *other == keeper);
-        let keeper = keeper.expect("it is one of them");
+        if self.lost == Some(node) {
+            return;
+        }
         for report in self.holders[node].reports(now) {
-            self.reports.push((node, keeper, report));
+            for keeper in keepers_of(ACCOUNT, &self.known_to(node)) {
+                self.reports.push((node, number_of(keeper), report));
+            }
         }
         for news in self.keepers[node].news(now) {
-            let side = self.side(node);
-            self.news.extend(side.map(|other| (other, news)));
+            let (side, own) = (self.side(node), self.nodes[node]);
+            self.news.extend(side.map(|other| (other, own, news)));
         }
     }
 
     fn deliver(&mut self, now: Duration) {
-        for (node, news) in std::mem::take(&mut self.news) {
-            self.holders[node].told(now, news);
+        for (node, keeper, news) in std::mem::take(&mut self.news) {
+            self.holders[node].told(now, keeper, news);
         }
         let whole = f64::from(u32::try_from(self.nodes.len()).expect("small"));
         for (_, keeper, report) in std::mem::take(&mut self.reports) {
@@ -240,3 +275,51 @@
         assert!(beyond <= 0.0, "{rate}: {beyond} beyond the bound");
     }
 }
+
+/// Sizes of fleets, and rates of an account that is large in each.
+const FLEETS: [(usize, f64); 4] = [(25, 40.0), (96, 170.0), (300, 170.0), (1000, 400.0)];
+
+// Guards against an account without a limit while its keeper is dead and nobody knows yet.
+#[test]
+fn a_quota_holds_while_a_dead_keeper_counts_as_present() {
+    for (nodes, rate) in FLEETS {
+        let mut fleet = QuotaFleet::new(nodes, rate, 8);
+        fleet.run(8, rate * 0.6);
+        fleet.lost = Some(fleet.first_keeper());
+        fleet.run(5, rate * 4.0);
+        let beyond = fleet.most_beyond();
+        assert!(beyond <= 0.0, "{nodes} nodes: {beyond} beyond the bound");
+    }
+}
+
+// Guards against an account of which two keepers see a half each: a node that ranks first has joined, and
+// only half of the others have heard of it.
+#[test]
+fn a_quota_holds_while_nodes_disagree_on_the_keeper() {
+    for (nodes, rate) in FLEETS {
+        let mut fleet = QuotaFleet::new(nodes, rate, 9);
+        fleet.joined = Some((fleet.first_keeper(), 0));
+        fleet.run(8, rate * 0.6);
+        fleet.joined = Some((fleet.first_keeper(), nodes / 2));
+        fleet.run(5, rate * 4.0);
+        let beyond = fleet.most_beyond();
+        assert!(beyond <= 0.0, "{nodes} nodes: {beyond} beyond the bound");
+    }
+}
+
+// Guards against a quota that is given anew with each restart of a keeper.
+#[test]
+fn a_quota_holds_while_its_keepers_restart_in_turn() {
+    for (nodes, rate) in FLEETS {
+        let mut fleet = QuotaFleet::new(nodes, rate, 10);
+        fleet.run(8, rate * 0.6);
+        for turn in 0..6 {
+            let keepers = keepers_of(ACCOUNT, &fleet.nodes);
+            let keeper = keepers[turn % keepers.len()];
+            fleet.restart(number_of(keeper));
+            fleet.run(1, rate * 4.0);
+        }
+        let beyond = fleet.most_beyond();
+        assert!(beyond <= 0.0, "{nodes} nodes: {beyond} beyond the bound");
+    }
+}
