The leaving of a backend server binds the next life of the daemon beside it

Ruled out: waiting for a second heartbeat (every restart would leave its server idle for 1.5 s); the roster's facts of the former life (they do not tell which life of the server left, and one that started again must be taken at once). Change: with each acknowledged leaving the three nodes that rank first for this node are told the server's life. A new life asks the first two members that it meets, which hand the question on to those keepers; announcements that say ready wait for two answers, at most 0.5 s, and a life that left is taken as leaving. An answer that comes later closes a server that was taken. First starts ask nobody. When all nodes are lost at once nobody can tell. Tests: late announcement at 0, 30, 400 and 1,000 ms, two of three keepers lost with the daemon, a withdrawal in the wait, a server that starts again under its name, a daemon that reaches nobody, a fleet that starts anew. The first fails without the recall (the announcement is taken as ready).

--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -21,9 +21,15 @@
         announced: UpstreamAnnouncement,
         out: &mut Vec<NodeCommand>,
     ) {
+        let Some(announced) = self.recall_leaving(announced) else {
+            return;
+        };
         let Some(announced) = self.admit_announcement(announced) else {
             return;
         };
+        if announced.phase == UpstreamPhase::Leaving {
+            self.record_leaving(&announced, out);
+        }
         let slot = announced.slot;
         let lapses = now + self.settings.announcement;
         let mut known = self.upstreams.remove(&slot);
@@ -128,6 +134,7 @@
         life: Option<&LifeId>,
         out: &mut Vec<NodeCommand>,
     ) {
+        self.drop_held_announcement(slot, life);
         let Some(known) = self.upstreams.get_mut(&slot) else {
             return;
         };
@@ -143,7 +150,18 @@
             known.end_life(current);
             return self.on_withdrawn(now, slot, out);
         }
-        let mut leaving = known.announced.clone();
+        let announced = known.announced.clone();
+        self.take_as_leaving(now, announced, out);
+    }
+
+    /// A server leaves although its newest announcement does not say so.
+    pub(crate) fn take_as_leaving(
+        &mut self,
+        now: Duration,
+        announced: UpstreamAnnouncement,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let mut leaving = announced;
         leaving.phase = UpstreamPhase::Leaving;
         if let Some(life) = &mut leaving.life {
             life.order += 1;
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -315,7 +315,7 @@
 
 /// Which life of a backend server is meant. A server may start again under the name that it had; the
 /// time of its start then tells the lives apart.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LifeId {
     /// Name that the server goes by.
     pub name: Arc<str>,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -33,6 +33,7 @@
 mod guarding;
 mod holding;
 mod ingress;
+mod leaving;
 mod membership;
 mod message;
 mod node;
@@ -52,6 +53,7 @@
     UpstreamAnnouncement, UpstreamLife, WorkEnd, WorkOffer, WorkReport,
 };
 pub use fleet::ContractForm;
+pub use leaving::{LeavingLife, LeavingMessage};
 pub use message::{ContractAsk, PeerMessage};
 pub use node::NodeEngine;
 pub use note::{NodeNote, RequestSummary};
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -147,6 +147,7 @@
         };
         self.share_members.insert(instance.node, member);
         self.tell_guard(now, GuardEvent::MemberUp { instance, domain }, out);
+        self.ask_for_leavings(instance, out);
         self.roster_changed(now, out);
     }
 
@@ -304,6 +305,7 @@
             }
             PeerMessage::FleetHead { version } => self.on_head_told(now, from, version),
             PeerMessage::Quota(message) => self.on_quota_message(now, from, message),
+            PeerMessage::Leaving(message) => self.on_leaving_message(now, from, message, out),
         }
     }
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -6,6 +6,8 @@
 use sycamorelink_limits::{CrashMessage, QuotaMessage, ShareMember, ShareMessage};
 use sycamorelink_policy::{LoadHint, UpstreamEvidence};
 
+use crate::leaving::LeavingMessage;
+
 /// One message between two nodes. Each may be lost, repeated or overtaken.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -88,6 +90,8 @@
     },
     /// What was admitted of client accounts, and the parts of their quotas.
     Quota(QuotaMessage),
+    /// Backend servers that leave, kept for the next life of the node beside them.
+    Leaving(LeavingMessage),
 }
 
 /// Which contracts a node asks a peer for.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -19,7 +19,8 @@
 use crate::dispatch::QUIET_FOR;
 use crate::event::{LifeId, NodeEvent, UpstreamAnnouncement};
 use crate::fencing::FenceMark;
-use crate::fleet::FleetState;
+use crate::fleet::{ContractForm, FleetState};
+use crate::leaving::LeavingRecords;
 use crate::quotas::QuotaState;
 use crate::repeats::RepeatPots;
 use crate::request::{RequestState, WorkState};
@@ -106,6 +107,7 @@
     pub(crate) in_force: BTreeMap<CustomerIndex, ContractVersion>,
     pub(crate) fleet: FleetState,
     pub(crate) quotas: QuotaState,
+    pub(crate) leavings: LeavingRecords,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
     pub(crate) shares: ShareNode,
@@ -178,6 +180,12 @@
         let first_asked = usize::try_from(own.instance.node.0 ^ seed).unwrap_or(0);
         let roster = NodeRoster::new(settings.roster.clone(), own.clone(), seed);
         let quotas = QuotaState::new(settings.quota, seed);
+        let recalls = settings.contracts == ContractForm::Fleet && !settings.first_start;
+        let leavings = if recalls {
+            LeavingRecords::default()
+        } else {
+            LeavingRecords::without_recall()
+        };
         Self {
             guard: GuardNode::new(identity, settings.guard.clone(), seed),
             shares: ShareNode::new(own.instance, settings.share.clone()),
@@ -191,6 +199,7 @@
             in_force: BTreeMap::new(),
             fleet: FleetState::new(seed),
             quotas,
+            leavings,
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
             pool_used: BTreeMap::new(),
@@ -380,6 +389,7 @@
         self.forget_fences(now);
         self.lapse_upstreams(now, out);
         if self.has_fleet_form() {
+            self.tick_leavings(now, out);
             self.choose_follower(now, out);
             self.pull_fleet(now, out);
             self.tick_quotas(now, out);
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -15,7 +15,7 @@
 /// Long enough for any session to come to rest.
 const REST: Duration = Duration::from_secs(4);
 
-fn contract(version: u64, prices: &str) -> FleetContract {
+pub fn contract(version: u64, prices: &str) -> FleetContract {
     let route = |name: &str, prefix: &str, repeat: RepeatClass| FleetRoute {
         name: Arc::from(name),
         host: Arc::from(""),
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -5,5 +5,6 @@
 mod faults;
 mod fleet_form;
 mod found;
+mod leaving;
 mod scenes;
 mod world;
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -213,8 +213,14 @@
         world
     }
 
-    /// A node starts, remembering nothing.
+    /// A node starts, remembering nothing, and its backend server announces itself.
     pub fn add_node(&mut self, number: u8, incarnation: u64) {
+        self.start_node(number, incarnation);
+        self.announce(node(&name_of(number)), UpstreamPhase::Ready);
+    }
+
+    /// A node starts, remembering nothing.
+    pub fn start_node(&mut self, number: u8, incarnation: u64) {
         let name = name_of(number);
         let id = node(&name);
         let gossip: SocketAddr = ([127, 0, 0, 1], 7000 + u16::from(number)).into();
@@ -252,7 +258,6 @@
             None if self.log_up => self.read_logs(id),
             None => {}
         }
-        self.announce(id, UpstreamPhase::Ready);
     }
 
     fn domain_of(&self, number: u8, name: &str) -> String {
