A choice among many upstreams looks at places all over the list

Cause: every node lists a service's upstreams in the order of their ids, and a choice looked at 64 neighbours in that list. With the own failure domain preferred, an upstream behind a row of others' domains was the cheapest in most looks that met it. In virtual time (983 callers' nodes, 167 upstreams in six domains) the busiest got more than twice the mean. Ruled out: a larger window, which grows with the service. Change: the 64 lie at a random stride without a common divisor with the count, so that each upstream is as likely to be met beside any others. Services of up to 64 upstreams are walked as before.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::rngs::SmallRng;
 use sycamorelink_core::UpstreamId;
 
 use crate::pool::ServicePool;
@@ -15,7 +16,7 @@
 /// Draws for the two choices before giving up on weights.
 const DRAWS: usize = 12;
 
-/// Candidates looked at in order when the draws found none.
+/// Candidates looked at, whatever their number.
 const SCAN: usize = 64;
 
 /// Load per slot up to which an upstream in the preferred domain is taken without a look at others:
@@ -100,22 +101,17 @@
     }
 
     /// The upstream with the least expected cost of those that may be picked. Of many upstreams a
-    /// bounded number is looked at, from a random place on.
+    /// bounded number is looked at.
     pub fn pick_cheapest(
         &mut self,
         now: Duration,
         exclude: &[UpstreamId],
         kind: u64,
     ) -> Option<UpstreamId> {
-        let count = self.candidates.len();
-        if count == 0 {
-            return None;
-        }
         let far = self.far_cost(kind);
-        let start = self.random.random_range(0..count);
         let mut best: Option<(usize, f64)> = None;
-        for step in 0..count.min(SCAN) {
-            let place = self.candidates[(start + step) % count];
+        for candidate in self.walk_candidates() {
+            let place = self.candidates[candidate];
             let record = &self.records[place];
             if exclude.contains(&record.id) || (record.probing() && record.flights.count() > 0) {
                 continue;
@@ -249,14 +245,9 @@
 
     /// Takes the best of a bounded number of candidates when the draws found none.
     fn scan(&mut self, now: Duration, exclude: &[UpstreamId]) -> Option<usize> {
-        let count = self.candidates.len();
-        if count == 0 {
-            return None;
-        }
-        let start = self.random.random_range(0..count);
         let mut best: Option<(usize, f64)> = None;
-        for step in 0..count.min(SCAN) {
-            let place = self.candidates[(start + step) % count];
+        for candidate in self.walk_candidates() {
+            let place = self.candidates[candidate];
             let record = &self.records[place];
             if exclude.contains(&record.id) {
                 continue;
@@ -269,6 +260,10 @@
         best.map(|(place, _)| place)
     }
 
+    fn walk_candidates(&mut self) -> CandidateWalk {
+        CandidateWalk::new(self.candidates.len(), &mut self.random)
+    }
+
     /// Puts an upstream into the list of candidates or takes it out.
     pub(crate) fn list_candidate(&mut self, place: usize) {
         let record = &mut self.records[place];
@@ -293,6 +288,61 @@
     }
 }
 
+/// Places of some candidates, each place as likely as any other.
+///
+/// All nodes list the upstreams in the same order. With neighbours in it looked at together, an upstream
+/// whose neighbours are all in other failure domains would be the cheapest in most looks of its own.
+#[derive(Debug)]
+struct CandidateWalk {
+    count: usize,
+    next: usize,
+    stride: usize,
+    left: usize,
+}
+
+impl CandidateWalk {
+    fn new(count: usize, random: &mut SmallRng) -> Self {
+        let next = if count == 0 {
+            0
+        } else {
+            random.random_range(0..count)
+        };
+        let mut stride = 1;
+        if count > SCAN {
+            // A stride without a common divisor meets no place twice.
+            stride = random.random_range(1..count);
+            while greatest_divisor(stride, count) != 1 {
+                stride = random.random_range(1..count);
+            }
+        }
+        Self {
+            count,
+            next,
+            stride,
+            left: count.min(SCAN),
+        }
+    }
+}
+
+impl Iterator for CandidateWalk {
+    type Item = usize;
+
+    fn next(&mut self) -> Option<usize> {
+        self.left = self.left.checked_sub(1)?;
+        let place = self.next;
+        self.next = (place + self.stride) % self.count;
+        Some(place)
+    }
+}
+
+const fn greatest_divisor(first: usize, second: usize) -> usize {
+    let (mut greater, mut lesser) = (first, second);
+    while lesser != 0 {
+        (greater, lesser) = (lesser, greater % lesser);
+    }
+    greater
+}
+
 /// What a wait for a slot costs at this load per slot. Up to half of the slots hardly anybody waits;
 /// with all in use one waits for a part of a run, and each further one for its share of a whole run.
 fn wait_cost(load: f64) -> f64 {
--- /dev/null
+++ b/crates/policy/tests/spread.rs
@@ -0,0 +1,69 @@
+//! How evenly hundreds of callers' nodes, which know nothing of each other's choices, spread work.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sycamorelink_core::{DomainName, NodeId, UpstreamId, stable_hash};
+use sycamorelink_policy::{PoolSettings, ServicePool, UpstreamFacts, UpstreamPhase};
+
+/// Failure domains.
+const DOMAINS: u64 = 6;
+/// Requests that each caller's node sends.
+const REQUESTS: u32 = 40;
+/// Most that the busiest upstream may get, in means over all.
+const BUSIEST: f64 = 2.0;
+
+fn domain(number: u64) -> DomainName {
+    DomainName::new(&format!("d{}", number % DOMAINS))
+}
+
+/// A pool as every node of a failure domain makes it: upstreams in the order of their ids, which are hashes
+/// of names and say nothing of the domain.
+fn pool_in(near: u64, upstreams: u64) -> ServicePool {
+    let mut pool = ServicePool::new(PoolSettings::default(), near);
+    pool.prefer(domain(near));
+    let named: BTreeMap<u64, u64> = (0..upstreams)
+        .map(|number| (stable_hash(&[&number.to_be_bytes()]), number))
+        .collect();
+    for (id, number) in named {
+        let facts = UpstreamFacts {
+            slots: 8,
+            domain: domain(number),
+            phase: UpstreamPhase::Ready,
+        };
+        let id = UpstreamId {
+            node: NodeId(id),
+            slot: 0,
+        };
+        pool.upsert(Duration::ZERO, id, &facts);
+    }
+    pool
+}
+
+fn busiest_over_mean(nodes: u64, upstreams: u64) -> f64 {
+    let now = Duration::from_secs(30);
+    let mut runs: BTreeMap<UpstreamId, u32> = BTreeMap::new();
+    for near in 0..DOMAINS {
+        let mut pool = pool_in(near, upstreams);
+        for _ in 0..nodes / DOMAINS * u64::from(REQUESTS) {
+            let picked = pool.pick_cheapest(now, &[], 1).expect("an upstream");
+            *runs.entry(picked).or_default() += 1;
+        }
+    }
+    let most = runs.values().copied().max().unwrap_or_default();
+    let sum: u32 = runs.values().sum();
+    f64::from(most) * f64::from(u32::try_from(upstreams).unwrap_or(u32::MAX)) / f64::from(sum)
+}
+
+// Guards against a few full upstreams beside hundreds of idle ones: all nodes list the upstreams in the same
+// order, and those behind a row of others' failure domains were met by most looks.
+#[test]
+fn no_upstream_gets_twice_its_share_at_any_size() {
+    for (nodes, upstreams) in [(96, 60), (300, 252), (983, 816), (983, 167)] {
+        let busiest = busiest_over_mean(nodes, upstreams);
+        assert!(
+            busiest < BUSIEST,
+            "{nodes} nodes, {upstreams} upstreams: {busiest:.2}"
+        );
+    }
+}
