Full datagrams of the membership fit once they are sealed

Cause: the membership fills a datagram up to 1,200 bytes, and its seal adds 18; what is longer than 1,200 sealed is dropped unsent, with a line at the lowest level. Small fleets hardly ever fill one. In a log of 147 of 983 nodes 1,202 datagrams of 1,201 to 1,217 bytes were dropped in the first 15 seconds: lists of members and their state, and since the same members are packed in the same order, the same ones again and again. Nodes of one failure domain knew only some of the servers there, so that 14 of some 130 got half of their requests. Ruled out: loss on the links (datagrams of other sizes arrived); proof that attracts work (the requests to the busiest servers were first attempts with nothing told of them). Change: the membership's default is 1,182 bytes, and the daemon lowers a greater setting to what fits. Test: fails before.

--- a/crates/daemon/src/starting.rs
+++ b/crates/daemon/src/starting.rs
@@ -8,7 +8,7 @@
 use sycamorelink_core::{InstanceId, NodeClock, NodeId, NodeIncarnation};
 use sycamorelink_engine::EngineSettings;
 use sycamorelink_roster::MemberFacts;
-use sycamorelink_wire::{FleetKey, FleetKeys};
+use sycamorelink_wire::{DATAGRAM_PAYLOAD, FleetKey, FleetKeys};
 
 use crate::border::{MemberDirectory, MemberEntry};
 use crate::settings::DaemonSettings;
@@ -107,6 +107,9 @@
     if let Some(quota) = settings.limits.get("quota") {
         parts.quota = section("limits.quota", quota)?;
     }
+    // The membership fills its datagrams up to this size, and they are sealed after that.
+    let datagram = &mut parts.roster.datagram_bytes;
+    *datagram = (*datagram).min(DATAGRAM_PAYLOAD);
     parts
         .validate()
         .into_result()
--- a/crates/roster/src/settings.rs
+++ b/crates/roster/src/settings.rs
@@ -61,7 +61,7 @@
     pub bytes_per_second: u32,
     /// Bytes that may be saved up for a burst.
     pub burst_bytes: u32,
-    /// Largest datagram payload, in bytes.
+    /// Largest datagram payload, in bytes. What seals a datagram comes on top.
     pub datagram_bytes: usize,
 }
 
@@ -85,7 +85,7 @@
             stall_threshold: Duration::from_millis(1_500),
             bytes_per_second: 7_000,
             burst_bytes: 14_000,
-            datagram_bytes: 1_200,
+            datagram_bytes: 1_182,
         }
     }
 }
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -22,6 +22,9 @@
 /// Bytes before the payload.
 const PREFIX: [u8; 2] = [WIRE_VERSION, FrameKind::Datagram as u8];
 
+/// Greatest size of what a datagram carries, in bytes.
+pub const DATAGRAM_PAYLOAD: usize = DATAGRAM_BYTES - PREFIX.len() - SHORT_CODE_BYTES;
+
 /// A datagram that cannot be made or is not of this fleet.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum DatagramError {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -39,7 +39,9 @@
 pub use client::PeerConnection;
 pub use codec::{CodecError, decode_payload, encode_payload};
 pub use connection::{CloseReason, ConnectionWatch};
-pub use datagram::{DATAGRAM_BYTES, DatagramError, decode_datagram, encode_datagram};
+pub use datagram::{
+    DATAGRAM_BYTES, DATAGRAM_PAYLOAD, DatagramError, decode_datagram, encode_datagram,
+};
 pub use error::{ConnectError, WireError};
 pub use exchange::{BodySender, ReplyOpening, ReplyReceiver};
 pub use frame::{
--- a/crates/wire/tests/decoding.rs
+++ b/crates/wire/tests/decoding.rs
@@ -4,8 +4,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use sycamorelink_wire::{
-    DATAGRAM_BYTES, DatagramError, FleetKey, FleetKeys, FrameDecoder, FrameError, FrameKind,
-    FrameLimits, ReplyHead, WorkHead, decode_datagram, decode_payload, encode_datagram,
+    DATAGRAM_BYTES, DATAGRAM_PAYLOAD, DatagramError, FleetKey, FleetKeys, FrameDecoder, FrameError,
+    FrameKind, FrameLimits, ReplyHead, WorkHead, decode_datagram, decode_payload, encode_datagram,
     encode_frame,
 };
 
@@ -115,6 +115,10 @@
         decode(&keys, &bytes[..16]),
         Err(DatagramError::Truncated(16))
     );
+    // A list of bytes has its length before it, in three bytes.
+    let fitting = vec![0_u8; DATAGRAM_PAYLOAD - 3];
+    let sealed = encode_datagram(&keys, &fitting).expect("it fits");
+    assert_eq!(sealed.len(), DATAGRAM_BYTES);
     let long = vec![0; DATAGRAM_BYTES + 1];
     assert_eq!(
         decode(&keys, &long),
