The small ports of a daemon share one server

Ruled out: one server for all ports (heartbeats and readiness would wait behind callers' requests at one worker). Daemon tests green.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -23,7 +23,7 @@
 pub use head::{
     TIMEOUT_HEADER, declared_body, forwarded_headers, is_hop_header, read_head, target_of,
 };
-pub use server::{CallerContext, CallerServer};
+pub use server::{CallerContext, serve_callers};
 pub use socket::CallerSockets;
 
 use std::sync::Arc;
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -12,7 +12,7 @@
 use super::exchange::answer_request;
 use super::socket::{CallerSockets, TrackedListener};
 use crate::border::CallerBorder;
-use crate::http_server::{HttpPort, start_server};
+use crate::http_server::PortServer;
 use crate::inbox::ShellInput;
 use crate::ring::RingSender;
 use crate::work::AttemptTask;
@@ -56,41 +56,26 @@
     }
 }
 
-/// The running server.
-#[derive(Debug)]
-pub struct CallerServer(HttpPort);
-
-impl CallerServer {
-    /// Starts serving on a bound listener with so many worker threads.
-    ///
-    /// # Errors
-    ///
-    /// When the server's threads cannot be started.
-    pub fn start(
-        context: Arc<CallerContext>,
-        listener: TcpListener,
-        workers: usize,
-    ) -> anyhow::Result<Self> {
-        let tracked = TrackedListener::new(listener, context.sockets.clone());
-        let answer = move |request: WebRequest| {
-            let context = Arc::clone(&context);
-            let peer = *request.body().socket_addr();
-            let request = request.map(|ext| ext.replace_body(()).1);
-            async move {
-                let leaving = Arc::clone(&context.leaving);
-                let mut answer = answer_request(context, request, peer).await;
-                if leaving.load(Ordering::Relaxed) {
-                    let close = HeaderValue::from_static("close");
-                    answer.headers_mut().insert(CONNECTION, close);
-                }
-                answer
+/// Serves the callers' port.
+pub fn serve_callers(
+    server: PortServer,
+    listener: TcpListener,
+    context: Arc<CallerContext>,
+) -> PortServer {
+    let tracked = TrackedListener::new(listener, context.sockets.clone());
+    let answer = move |request: WebRequest| {
+        let context = Arc::clone(&context);
+        let peer = *request.body().socket_addr();
+        let request = request.map(|ext| ext.replace_body(()).1);
+        async move {
+            let leaving = Arc::clone(&context.leaving);
+            let mut answer = answer_request(context, request, peer).await;
+            if leaving.load(Ordering::Relaxed) {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
             }
-        };
-        start_server("callers", tracked, workers, answer).map(Self)
-    }
-
-    /// Stops the server; with `graceful`, exchanges in flight are finished first.
-    pub fn stop(self, graceful: bool) {
-        self.0.stop(graceful);
-    }
+            answer
+        }
+    };
+    server.port("callers", tracked, answer)
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,15 +14,15 @@
 use tokio::sync::watch;
 
 use crate::border::{ContractSource, DaemonBorders, MemberEntry};
-use crate::callers::{CallerContext, CallerServer, CallerSockets};
+use crate::callers::{CallerContext, CallerSockets, serve_callers};
 use crate::gossip::start_gossip;
-use crate::http_server::HttpPort;
+use crate::http_server::{HttpPorts, PortServer};
 use crate::inbox::{INBOX_DEPTH, ShellInput};
 use crate::log_thread::{LogParts, start_log};
 use crate::metrics::NodeTelemetry;
 use crate::metrics_thread::start_metrics;
-use crate::operators::{OperatorContext, OperatorGate, OperatorServer};
-use crate::ready::{start_metrics_page, start_ready};
+use crate::operators::{OperatorContext, OperatorGate, serve_operators};
+use crate::ready::{serve_metrics_page, serve_ready};
 use crate::ring::{RingSender, bounded_ring};
 use crate::settings::DaemonSettings;
 use crate::shell::{DecisionShell, ShellPorts};
@@ -132,31 +132,28 @@
             .name("decision".to_owned())
             .spawn(move || shell.run())
             .context("cannot start the decision thread")?;
-        let callers = CallerServer::start(
-            Arc::new(shared.caller_context(&settings, &work)),
+        let callers = serve_callers(
+            PortServer::new(settings.http_workers),
             sockets.callers,
-            settings.http_workers,
-        )?;
-        let operators = OperatorServer::start(
-            Arc::new(shared.operator_context(gate, &addresses)),
+            Arc::new(shared.caller_context(&settings, &work)),
+        )
+        .start("callers")?;
+        let mut small = serve_operators(
+            PortServer::new(1),
             sockets.operators,
-        )?;
-        let page = shared.telemetry.page.clone();
-        let metrics = match (sockets.metrics, page) {
-            (Some(listener), Some(page)) => Some(start_metrics_page(listener, page)?),
-            _ => None,
-        };
-        let ready = match sockets.ready {
-            Some(listener) => Some(start_ready(listener, Arc::clone(&shared.ready))?),
-            None => None,
-        };
+            Arc::new(shared.operator_context(gate, &addresses)),
+        );
+        if let (Some(listener), Some(page)) = (sockets.metrics, shared.telemetry.page.clone()) {
+            small = serve_metrics_page(small, listener, page);
+        }
+        if let Some(listener) = sockets.ready {
+            small = serve_ready(small, listener, Arc::clone(&shared.ready));
+        }
         Ok(DaemonHandle {
             addresses,
             shared,
-            ready,
-            metrics,
             callers,
-            operators,
+            small_ports: small.start("small ports")?,
             work,
             decision,
             log_thread,
@@ -304,10 +301,9 @@
 pub struct DaemonHandle {
     addresses: DaemonAddresses,
     shared: SharedParts,
-    ready: Option<HttpPort>,
-    metrics: Option<HttpPort>,
-    callers: CallerServer,
-    operators: OperatorServer,
+    callers: HttpPorts,
+    /// Operators and announcements, readiness and metrics.
+    small_ports: HttpPorts,
     work: WorkThread,
     decision: JoinHandle<()>,
     log_thread: JoinHandle<()>,
@@ -375,10 +371,7 @@
             .send_blocking(ShellInput::Event(NodeEvent::Departed));
         thread::sleep(GOODBYE_TIME);
         self.callers.stop(false);
-        self.operators.stop();
-        for port in [self.ready, self.metrics].into_iter().flatten() {
-            port.stop(false);
-        }
+        self.small_ports.stop(false);
         let _ = self.shared.drain.send(true);
         self.shared.stop.store(true, Ordering::Relaxed);
         self.shared.inbox.send_blocking(ShellInput::Stop);
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -18,4 +18,4 @@
 
 pub use access::OperatorGate;
 pub use query::{OperatorQuery, answer_query};
-pub use server::{OperatorContext, OperatorServer};
+pub use server::{OperatorContext, serve_operators};
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -19,7 +19,7 @@
 use super::reply::ApiProblem;
 use super::route::{OperatorCall, answer_call};
 use crate::border::AnnouncementBorder;
-use crate::http_server::{HttpPort, start_server};
+use crate::http_server::PortServer;
 use crate::inbox::ShellInput;
 use crate::ring::RingSender;
 use crate::work::BackendDirectory;
@@ -73,28 +73,17 @@
     }
 }
 
-/// The running server.
-#[derive(Debug)]
-pub struct OperatorServer(HttpPort);
-
-impl OperatorServer {
-    /// Starts serving on a bound listener.
-    ///
-    /// # Errors
-    ///
-    /// When the server's threads cannot be started.
-    pub fn start(context: Arc<OperatorContext>, listener: TcpListener) -> anyhow::Result<Self> {
-        let answer = move |request| {
-            let context = Arc::clone(&context);
-            async move { answer_request(&context, request).await }
-        };
-        start_server("operators", listener, 1, answer).map(Self)
-    }
-
-    /// Stops the server.
-    pub fn stop(self) {
-        self.0.stop(false);
-    }
+/// Serves the operators' port.
+pub fn serve_operators(
+    server: PortServer,
+    listener: TcpListener,
+    context: Arc<OperatorContext>,
+) -> PortServer {
+    let answer = move |request| {
+        let context = Arc::clone(&context);
+        async move { answer_request(&context, request).await }
+    };
+    server.port("operators", listener, answer)
 }
 
 async fn answer_request(context: &OperatorContext, request: WebRequest) -> Response<ResponseBody> {
--- a/crates/daemon/src/ready.rs
+++ b/crates/daemon/src/ready.rs
@@ -11,14 +11,14 @@
 use xitca_web::body::ResponseBody;
 use xitca_web::http::WebRequest;
 
-use crate::http_server::{HttpPort, start_server};
+use crate::http_server::PortServer;
 
 /// Serves 200 while `ready` is set and 503 otherwise, whatever the path.
-///
-/// # Errors
-///
-/// When the server's threads cannot be started.
-pub fn start_ready(listener: TcpListener, ready: Arc<AtomicBool>) -> anyhow::Result<HttpPort> {
+pub fn serve_ready(
+    server: PortServer,
+    listener: TcpListener,
+    ready: Arc<AtomicBool>,
+) -> PortServer {
     let answer = move |_: WebRequest| {
         let ready = ready.load(Ordering::Relaxed);
         async move {
@@ -29,18 +29,18 @@
             answer
         }
     };
-    start_server("ready", listener, 1, answer)
+    server.port("ready", listener, answer)
 }
 
 /// Media type of the metrics' text.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Serves the metrics as text, whatever the path.
-///
-/// # Errors
-///
-/// When the server's threads cannot be started.
-pub fn start_metrics_page(listener: TcpListener, page: MetricPage) -> anyhow::Result<HttpPort> {
+pub fn serve_metrics_page(
+    server: PortServer,
+    listener: TcpListener,
+    page: MetricPage,
+) -> PortServer {
     let answer = move |_: WebRequest| {
         let text = page.text();
         async move {
@@ -50,5 +50,5 @@
             answer
         }
     };
-    start_server("metrics", listener, 1, answer)
+    server.port("metrics", listener, answer)
 }
