A few nodes of the whole fleet call the store, and a contract goes down a tree

The time since the membership changed was never set under a fleet contract, so that each node took the first nodes it knew for its failure domain; a node without a contract followed after three seconds, and one that had met nobody after 0.7 s. Later one node in sixteen followed (62), each looked again after an error. Followers told their whole failure domain and were asked by all of it. Ruled out: groups of the store (log-join) as a directory: their owners list shows only as many members as partitions. Entries by chance, to the square root of six times the fleet, and one of each follower; followers no longer grow with the fleet; contracts down a tree of four children a node; a fleet that starts is told by its first nodes that the source was reached and had nothing; who follows is trusted once the first nodes of a failure domain stayed the same. The order of a domain is worked out when the membership changed, not ten times a second on each node. A node whose incarnation is too low leaves the greater one in an entry and ends, since most nodes have no entry that would tell the next life. One test was changed: in a_version_that_no_peer_gives_is_looked_for_at_the_source the ways are cut before the contract is told instead of 100 ms after it, since what is told is asked for at once now; nobody would have heard of a version that nobody gives. Its assertion is unchanged.

--- a/crates/daemon/src/border/source.rs
+++ b/crates/daemon/src/border/source.rs
@@ -48,6 +48,11 @@
     /// Leaves this node's entry, in place of an earlier one of the same name.
     fn announce<'a>(&'a self, entry: &'a MemberEntry) -> BorderFuture<'a, ()>;
 
+    /// Resolves when the directory was restored from an older copy, so that entries may be lost.
+    fn restored(&self) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
+        Box::pin(std::future::pending())
+    }
+
     /// All entries, also of nodes that have ended.
     fn list(&self) -> BorderFuture<'_, Vec<MemberEntry>>;
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::http_server::{HttpPorts, PortServer};
 use crate::inbox::{INBOX_DEPTH, ShellInput};
 use crate::log_thread::{LogParts, start_log};
+use crate::members::MemberParts;
 use crate::metrics::NodeTelemetry;
 use crate::metrics_thread::start_metrics;
 use crate::operators::{OperatorContext, OperatorGate, serve_operators};
@@ -94,7 +95,9 @@
         let metrics_thread = start_metrics(shared.telemetry.clone(), Arc::clone(&shared.stop))?;
         let work = start_work(&shared, sockets.peers, keys.clone())?;
         let (appends, log_thread) = match contracts {
-            Some(contracts) => start_source(shared.source_parts(contracts, &facts, earlier))?,
+            Some(contracts) => {
+                start_source(shared.source_parts(contracts, &facts, earlier, settings.first_start))?
+            }
             None => start_log(shared.log_parts())?,
         };
         let gossip_thread = start_gossip(
@@ -228,16 +231,26 @@
         contracts: Box<dyn ContractSource>,
         facts: &MemberFacts,
         earlier: Vec<MemberEntry>,
+        first_start: bool,
     ) -> SourceParts {
+        let entry = MemberEntry {
+            name: Arc::clone(&facts.name),
+            gossip: facts.gossip_address,
+            incarnation: facts.instance.incarnation.0,
+        };
+        let members = self.borders.members.clone().map(|directory| MemberParts {
+            directory,
+            entry,
+            earlier,
+            first_start,
+            clock: Arc::clone(&self.clock),
+            inbox: self.inbox.clone(),
+            seed: self.instance.node.0,
+        });
         SourceParts {
             contracts,
-            members: self.borders.members.clone(),
-            earlier,
-            entry: MemberEntry {
-                name: Arc::clone(&facts.name),
-                gossip: facts.gossip_address,
-                incarnation: facts.instance.incarnation.0,
-            },
+            members,
+            leave: Arc::clone(&self.drain_wanted),
             clock: Arc::clone(&self.clock),
             inbox: self.inbox.clone(),
             seed: self.instance.node.0,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod http_server;
 mod inbox;
 mod log_thread;
+pub mod members;
 mod metrics;
 mod metrics_table;
 mod metrics_thread;
--- a/crates/daemon/src/log_thread.rs
+++ b/crates/daemon/src/log_thread.rs
@@ -53,6 +53,13 @@
         /// Whether to follow it.
         follow: bool,
     },
+    /// Look for other nodes.
+    FindMembers,
+    /// Leave an incarnation for the next life of this node to begin above.
+    RecordIncarnation {
+        /// The incarnation.
+        incarnation: u64,
+    },
 }
 
 /// What the log thread is started with.
@@ -230,6 +237,12 @@
             LogOrder::Follow { follow } => {
                 tracing::debug!(follow, "the log of contracts has no source to follow");
             }
+            order @ (LogOrder::FindMembers | LogOrder::RecordIncarnation { .. }) => {
+                tracing::debug!(
+                    ?order,
+                    "daemons that read chains of contracts have no directory"
+                );
+            }
         }
     }
 }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -249,6 +249,11 @@
             NodeCommand::ReadContract { offset } => self.order(LogOrder::ReadBack { offset }),
             NodeCommand::RereadContracts => self.order(LogOrder::Reread),
             NodeCommand::FollowSource { follow } => self.order(LogOrder::Follow { follow }),
+            NodeCommand::FindMembers => self.order(LogOrder::FindMembers),
+            NodeCommand::RecordIncarnation(incarnation) => {
+                let incarnation = incarnation.0;
+                self.order(LogOrder::RecordIncarnation { incarnation });
+            }
             NodeCommand::ContractsChanged => self.notes.refresh_objectives(self.engine.table()),
             NodeCommand::Drained => self.ports.drained.store(true, Ordering::Release),
             NodeCommand::Note(note) => {
--- a/crates/daemon/src/source_thread.rs
+++ b/crates/daemon/src/source_thread.rs
@@ -1,53 +1,42 @@
-//! The source thread: follows the source of the fleet contract, and leaves this node's address
-//! where other nodes look for it.
+//! The source thread: follows the source of the fleet contract, and runs the duty that finds other
+//! nodes.
 //!
 //! ```text
 //!  ContractSource ── news ──▶ decision thread
-//!  MemberDirectory ◀─ entry ─ source thread ── addresses of others ──▶ decision thread
+//!  MemberDirectory ◀─ entry ─ MemberDuty ── addresses of others ──▶ decision thread
 //! ```
 
-use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use anyhow::Context;
 use sycamorelink_core::NodeClock;
 use sycamorelink_engine::NodeEvent;
-use sycamorelink_log::{BackoffSettings, LogError, OutageBackoff};
+use sycamorelink_log::OutageBackoff;
 use sycamorelink_telemetry::{EventCode, EventFields};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
-use crate::border::{ContractSource, MemberDirectory, MemberEntry, SourceNews};
+use crate::border::{ContractSource, SourceNews};
 use crate::inbox::ShellInput;
 use crate::log_thread::{APPEND_DEPTH, LogOrder};
+use crate::members::{DIRECTORY_BACKOFF, MemberAsks, MemberDuty, MemberParts, pause_after};
 use crate::metrics::NodeTelemetry;
 use crate::ring::RingSender;
 
-/// Pauses while the source refuses or cannot be reached. The whole fleet calls one service that
-/// bounds its calls: a call of each node about every half second is a hundredth of its bound.
-const SOURCE_BACKOFF: BackoffSettings = BackoffSettings {
-    least: Duration::from_millis(150),
-    greatest: Duration::from_secs(2),
-    share: 0.2,
-};
 /// Pause before the source is asked again after it gave a contract: a tenth of the time that a
 /// contract may take to be in force everywhere.
 const CONTRACT_PAUSE: Duration = Duration::from_millis(200);
-/// Longest wait for the withdrawal of this node's entry when it leaves.
-const WITHDRAW_LIMIT: Duration = Duration::from_millis(200);
-
 /// What the source thread is started with.
 pub struct SourceParts {
     /// The source.
     pub contracts: Box<dyn ContractSource>,
-    /// Where nodes find each other.
-    pub members: Option<Arc<dyn MemberDirectory>>,
-    /// This node's own entry.
-    pub entry: MemberEntry,
-    /// Entries that were read before the start; none when they still are to be read.
-    pub earlier: Vec<MemberEntry>,
+    /// How nodes find each other.
+    pub members: Option<MemberParts>,
+    /// Set once this life is to end so that the next one can begin with a greater incarnation.
+    pub leave: Arc<AtomicBool>,
     /// Time.
     pub clock: Arc<dyn NodeClock>,
     /// Where events go.
@@ -87,49 +76,50 @@
             return;
         }
     };
-    let members = parts.members.clone();
-    let name = Arc::clone(&parts.entry.name);
+    let mut duty = parts.members.take().map(MemberDuty::new);
+    let leave = Arc::clone(&parts.leave);
     LocalSet::new().block_on(&runtime, async move {
-        if let Some(members) = members.clone() {
-            let meeting = meet_members(
-                members,
-                parts.entry.clone(),
-                std::mem::take(&mut parts.earlier),
-                Arc::clone(&parts.clock),
-                parts.inbox.clone(),
-                parts.seed,
-            );
-            tokio::task::spawn_local(meeting);
-        }
         let (follow, following) = watch::channel(false);
+        let asks = MemberAsks::default();
         tokio::select! {
-            () = follow_source(parts, following) => {}
-            () = take_orders(&mut orders, &follow) => {}
+            () = follow_source(parts, following.clone()) => {}
+            () = take_orders(&mut orders, &follow, &asks) => {}
+            () = find_members(duty.as_mut(), asks.clone(), following, &leave) => {}
         }
-        if let Some(members) = members {
-            withdraw(members.as_ref(), &name).await;
+        if let Some(duty) = duty {
+            duty.withdraw().await;
         }
     });
 }
 
-/// Takes this node's entry away. Where that fails the entry stays, and other nodes find at their first
-/// probe that nobody is there.
-async fn withdraw(members: &dyn MemberDirectory, name: &str) {
-    match tokio::time::timeout(WITHDRAW_LIMIT, members.withdraw(name)).await {
-        Ok(Ok(())) => {}
-        Ok(Err(error)) => tracing::debug!(%error, "this node's entry was not taken away"),
-        Err(_) => tracing::debug!("this node's entry was not taken away in time"),
+async fn find_members(
+    duty: Option<&mut MemberDuty>,
+    asks: MemberAsks,
+    following: watch::Receiver<bool>,
+    leave: &AtomicBool,
+) {
+    match duty {
+        Some(duty) => duty.run(asks, following, leave).await,
+        None => std::future::pending().await,
     }
 }
 
 /// Takes orders until their sender is dropped.
-async fn take_orders(orders: &mut mpsc::Receiver<LogOrder>, follow: &watch::Sender<bool>) {
+async fn take_orders(
+    orders: &mut mpsc::Receiver<LogOrder>,
+    follow: &watch::Sender<bool>,
+    asks: &MemberAsks,
+) {
     while let Some(order) = orders.recv().await {
         match order {
             LogOrder::Follow { follow: begin } => {
                 tracing::debug!(begin, "whether this node follows the source of contracts");
                 follow.send_replace(begin);
             }
+            LogOrder::FindMembers => asks.find.notify_one(),
+            LogOrder::RecordIncarnation { incarnation } => {
+                asks.recorded.send_replace(Some(incarnation));
+            }
             order => tracing::debug!(?order, "a log order came under a fleet contract"),
         }
     }
@@ -137,7 +127,7 @@
 
 /// Looks at the source while this node is to follow it.
 async fn follow_source(mut parts: SourceParts, mut following: watch::Receiver<bool>) {
-    let mut backoff = OutageBackoff::new(SOURCE_BACKOFF, parts.seed);
+    let mut backoff = OutageBackoff::new(DIRECTORY_BACKOFF, parts.seed);
     while following.wait_for(|follow| *follow).await.is_ok() {
         tokio::select! {
             () = look(&mut parts, &mut backoff) => {}
@@ -162,14 +152,6 @@
     }
 }
 
-/// The pause that a refusal asks for, if it is longer.
-fn pause_after(error: &LogError, pause: Duration) -> Duration {
-    match error {
-        LogError::Throttled { retry_after } => pause.max(*retry_after),
-        _ => pause,
-    }
-}
-
 async fn take_news(parts: &SourceParts, news: SourceNews) {
     match news {
         SourceNews::Contract(contract) => {
@@ -186,60 +168,6 @@
     }
 }
 
-/// Leaves this node's entry, then reads those of others unless they were read before. Of two nodes
-/// that start together the one that reads later finds the other, and gossip does the rest.
-async fn meet_members(
-    members: Arc<dyn MemberDirectory>,
-    entry: MemberEntry,
-    earlier: Vec<MemberEntry>,
-    clock: Arc<dyn NodeClock>,
-    inbox: RingSender<ShellInput>,
-    seed: u64,
-) {
-    let mut backoff = OutageBackoff::new(SOURCE_BACKOFF, seed);
-    let mut announced = false;
-    let mut known = seeds_of(&earlier, &entry);
-    if !known.is_empty() {
-        tell(&inbox, NodeEvent::SeedsFound(known.clone())).await;
-    }
-    loop {
-        let met = meet_once(members.as_ref(), &entry, &mut announced, &mut known).await;
-        match met {
-            Ok(()) => {
-                tell(&inbox, NodeEvent::SeedsFound(known)).await;
-                return;
-            }
-            Err(error) => {
-                let pause = pause_after(&error, backoff.fail(clock.now()));
-                tracing::debug!(%error, ?pause, "this node could not leave its address");
-                tokio::time::sleep(pause).await;
-            }
-        }
-    }
-}
-
-async fn meet_once(
-    members: &dyn MemberDirectory,
-    entry: &MemberEntry,
-    announced: &mut bool,
-    known: &mut Vec<SocketAddr>,
-) -> Result<(), LogError> {
-    if !*announced {
-        members.announce(entry).await?;
-        *announced = true;
-    }
-    if known.is_empty() {
-        *known = seeds_of(&members.list().await?, entry);
-    }
-    Ok(())
-}
-
-/// Gossip addresses of all but the own entry.
-fn seeds_of(entries: &[MemberEntry], own: &MemberEntry) -> Vec<SocketAddr> {
-    let others = entries.iter().filter(|other| other.name != own.name);
-    others.map(|other| other.gossip).collect()
-}
-
 async fn tell(inbox: &RingSender<ShellInput>, event: NodeEvent) {
     inbox.send(ShellInput::Event(event)).await;
 }
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use sycamorelink_core::{
-    AttemptId, CustomerName, InstanceId, RequestId, RequestRefusal, ServiceName, UpstreamId,
+    AttemptId, CustomerName, InstanceId, NodeIncarnation, RequestId, RequestRefusal, ServiceName,
+    UpstreamId,
 };
 use sycamorelink_guard::DispatchTicket;
 use sycamorelink_limits::admission::WorkId;
@@ -121,6 +122,11 @@
         /// Whether to follow it.
         follow: bool,
     },
+    /// Look where nodes announce themselves for others, and have them find this node.
+    FindMembers,
+    /// This life's incarnation is lower than one that peers remember: leave this one for the next life to
+    /// begin above, and end.
+    RecordIncarnation(NodeIncarnation),
     /// The compiled contracts changed; publish the new table to the request path.
     ContractsChanged,
     /// Everything this node held is handed over or finished.
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -126,6 +126,11 @@
     FleetContract(Arc<FleetContract>),
     /// Gossip addresses of other nodes were read from where nodes announce themselves.
     SeedsFound(Vec<SocketAddr>),
+    /// Where nodes announce themselves was read for the first time.
+    DirectoryRead {
+        /// Entries of other nodes that were found.
+        entries: usize,
+    },
     /// Whether the platform's log can be reached changed.
     LogReachable(bool),
     /// The platform asked this node to leave.
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -26,6 +26,7 @@
 use crate::command::NodeCommand;
 use crate::contracts::{HEAD_KEY, leaning_of};
 use crate::event::CallerRequest;
+use crate::following::FollowState;
 use crate::message::{ContractAsk, PeerMessage};
 use crate::node::NodeEngine;
 use crate::note::NodeNote;
@@ -42,8 +43,9 @@
 /// Pause between two questions of a node whether there is a newer contract: two of them fit into the time in
 /// which a contract must be in force, and each is some sixty bytes.
 const CHECK_PAUSE: Duration = Duration::from_secs(1);
-/// Which peer that is asked is the one that told of the version.
-const TELLER_ASKED: u32 = 1;
+/// Which peer that is asked is the one that published the version. Many hear of it from gossip, so the
+/// nodes on the way down the tree and others go first.
+const ORIGIN_ASKED: u32 = 2;
 /// First ejection under a fleet contract: the breaker beside each server answers within a fault, and
 /// callers' scores, which are slower, should not keep capacity away after it.
 const FLEET_EJECTION: Duration = Duration::from_secs(3);
@@ -81,12 +83,12 @@
     head: Option<(u64, NodeId, Duration)>,
     /// How many peers were asked for that version.
     asked: u32,
-    /// When a follower is next asked whether there is a newer one.
+    /// The newest version that another node told this one to take from it.
+    told: u64,
+    /// When peers are next asked whether there is a newer one.
     next_check: Duration,
-    /// How many followers told that they have it.
-    tellers: u32,
-    /// Whether the daemon was told to follow the source.
-    pub(crate) following: bool,
+    /// Who follows the source.
+    pub(crate) follow: FollowState,
     /// Where the next draw for a split route stands, from 0 to 1.
     draw: f64,
     pub(crate) random: SmallRng,
@@ -98,15 +100,15 @@
 impl FleetState {
     /// Nodes start their draws at different places, so that they do not all send to one part at
     /// the same time.
-    pub(crate) fn new(seed: u64) -> Self {
+    pub(crate) fn new(first_start: bool, seed: u64) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
         Self {
             known: None,
             head: None,
             asked: 0,
+            told: 0,
             next_check: Duration::ZERO,
-            tellers: 0,
-            following: false,
+            follow: FollowState::new(first_start, seed),
             draw: random.random(),
             threshold: (WHOLE_REPEAT, Duration::ZERO),
             random,
@@ -249,31 +251,27 @@
         if version > known.max(self.fleet.version()) {
             self.fleet.head = Some((version, origin, now));
             self.fleet.asked = 0;
-            self.fleet.tellers = 0;
         }
     }
 
-    /// A follower of the source has this version: one of those that tell so is asked for it at the next
-    /// tick, drawn evenly, so that not all nodes ask the one that was first.
-    pub(crate) fn on_head_told(&mut self, now: Duration, from: InstanceId, version: u64) {
+    /// A node above this one in its failure domain has this version, and is asked for it.
+    pub(crate) fn on_head_told(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        version: u64,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let own = self.fleet.version();
         let known = self.fleet.head.map_or(0, |(version, ..)| version);
-        let newest = known.max(self.fleet.version());
-        if self.fleet.following || version < newest || version == self.fleet.version() {
+        if version <= own || version < known || version == self.fleet.told {
             return;
         }
-        if version > newest {
-            self.fleet.tellers = 0;
-        }
-        self.fleet.tellers += 1;
-        let tellers = self.fleet.tellers;
-        if self.fleet.random.random_ratio(1, tellers) {
-            let heard = now.saturating_sub(SOURCE_LEAD);
-            self.fleet.head = Some((version, from.node, heard));
-        }
-        if tellers == 1 {
-            self.fleet.asked = TELLER_ASKED;
-            self.next_pull = now;
-        }
+        self.fleet.told = version;
+        self.on_fleet_head(now, version, from.node);
+        self.next_pull = now + PULL_PAUSE;
+        let ask = ContractAsk::Fleet { newer_than: own };
+        self.send_peer(from, PeerMessage::ContractPull { ask }, out);
     }
 
     /// Asks a peer for the newest contract, when the source has not given it in time. A node that
@@ -291,10 +289,8 @@
                 let asked = self.fleet.asked;
                 self.fleet.asked = asked.saturating_add(1);
                 match asked {
-                    // Failure: the publisher can be heard of but not reached, and is asked again and
-                    // again while every other peer has the contract. It is asked once, then others.
-                    TELLER_ASKED => Some(origin),
-                    asked if asked % 2 == 0 => self.near_follower(),
+                    ORIGIN_ASKED => Some(origin),
+                    asked if asked % 2 == 0 => self.domain_order().parent(),
                     _ => None,
                 }
             }
@@ -312,19 +308,17 @@
         self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
     }
 
-    /// Failure: a node is hardly heard of, because it has just joined or some ways to it are cut; nobody tells
-    /// it of a new contract, and it goes on with the old one. So it asks every second whether there is one;
-    /// nothing comes back if there is none. It asks a follower, which hears first, and another node in turn
-    /// anywhere, since the followers of its failure domain may be the ones that were just lost.
+    /// Asks whether there is a newer contract, in case that nobody tells this node: the one above it in its
+    /// failure domain, and another node in turn anywhere. Nothing comes back if there is none.
     fn check_for_newer(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
-        if self.fleet.following || now < self.fleet.next_check {
+        if self.fleet.follow.active || now < self.fleet.next_check {
             return;
         }
         self.fleet.next_check = now + CHECK_PAUSE;
-        let follower = self.near_follower();
-        let follower = follower.and_then(|node| self.instance_of(node));
+        let parent = self.domain_order().parent();
+        let parent = parent.and_then(|node| self.instance_of(node));
         let newer_than = self.fleet.version();
-        for peer in follower.into_iter().chain(self.pull_source()) {
+        for peer in parent.into_iter().chain(self.pull_source()) {
             let ask = ContractAsk::Fleet { newer_than };
             self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
         }
@@ -339,11 +333,15 @@
     /// Answers a peer that asks for a newer contract, if this node has one.
     pub(crate) fn on_fleet_ask(
         &mut self,
+        now: Duration,
         from: InstanceId,
         newer_than: u64,
         out: &mut Vec<NodeCommand>,
     ) {
         let Some((contract, _)) = &self.fleet.known else {
+            if let Some(age) = self.source_seen_ago(now) {
+                self.send_peer(from, PeerMessage::SourceSeen { age }, out);
+            }
             return;
         };
         if contract.version <= newer_than {
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -1,21 +1,21 @@
-//! Which nodes follow the source of the fleet contract.
+//! Which nodes follow the source of the fleet contract, and how the others come by a contract.
 //!
 //! ```text
 //! source ◀── follow ── a few nodes of each failure domain
-//!                            └─ rumour of a version ──▶ all others ── pull ──▶ a peer that has it
+//!                        └─ tell ─▶ up to CHILDREN nodes each ─ tell ─▶ theirs
+//!                        ◀─ pull ──                            ◀─ pull ─
 //! ```
 //!
-//! Pattern: hundreds of nodes wait at one service for a change that comes a few times a minute. Each
-//! change answers all of them, each loss of its history makes all of them look again, each refusal is
-//! tried again by all, and every call has a price. A change reaches every node over the peers within
-//! half a second anyway, since some are always turned away by the source. So a few nodes of each
-//! failure domain follow it. On a fleet of 24 in six failure domains that takes a quarter of the calls away, on
-//! one of 86 in three more than half.
+//! Every call to the source has a price, so a few nodes of each failure domain follow it. The nodes of
+//! a domain, in the order of their ids, form a tree with these at its roots, and a contract goes down
+//! the tree. No node sends it to more than its children, however large the domain is.
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Duration;
 
-use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use sycamorelink_core::{InstanceId, NodeId};
 
 use crate::command::NodeCommand;
@@ -28,112 +28,230 @@
 /// The same of each failure domain at least, so that one that is cut off from the others is served while
 /// one of its nodes restarts.
 const DOMAIN_FOLLOWERS: usize = 2;
-/// Nodes of a failure domain to one follower at most: as many as it can send a contract of 100 KB within a
-/// second over a link of 20 Mbit/s.
-const FOLLOWED_MOST: usize = 16;
-/// How long the membership must be unchanged before a node that starts trusts it to tell who follows:
-/// some rounds of gossip.
-const JOINED_FOR: Duration = Duration::from_millis(300);
-/// When a node that has met nobody follows the source by itself.
+/// Nodes that one node tells of a contract and sends it to: 100 KB to each take a sixth of a second over
+/// a link of 20 Mbit/s.
+const CHILDREN: usize = 4;
+/// How long the first nodes of a failure domain must be the same before a node trusts the membership to tell
+/// who follows: some rounds of gossip.
+const SETTLED_FOR: Duration = Duration::from_millis(300);
+/// The same in a fleet that starts for the first time, whose nodes join over some time.
+const FIRST_SETTLED_FOR: Duration = Duration::from_millis(1500);
+/// When a node that has met nobody follows the source by itself. In a fleet that starts for the first time
+/// it waits as long as for a contract, since nodes meet over some time.
 const ALONE_AFTER: Duration = Duration::from_millis(700);
 /// When a node without a contract follows the source, whoever else does, in a fleet that starts for the
 /// first time: half of the time in which a node that starts has to be ready.
 const CONTRACT_AFTER: Duration = Duration::from_secs(3);
+/// Time over which nodes that lose this patience spread, so that the first of them can tell the others.
+const CONTRACT_SPREAD: Duration = Duration::from_secs(3);
+/// How long it holds that somebody reached the source and found no contract there: some questions to
+/// peers, one of which brings the news again.
+const SEEN_FOR: Duration = Duration::from_secs(5);
 /// How long a version that is heard of may be missing before a node looks at the source itself: two tries to
 /// take it from a peer.
 const OVERDUE_AFTER: Duration = Duration::from_secs(1);
 
+/// What a node knows of who follows the source.
+#[derive(Debug)]
+pub(crate) struct FollowState {
+    /// Whether the daemon was told to follow the source.
+    pub(crate) active: bool,
+    /// Whether this node was one of the first of a fleet that starts for the first time.
+    early: bool,
+    /// When the followers by the order of the failure domain last changed.
+    changed: Duration,
+    /// How long they must be the same to be trusted.
+    settled_for: Duration,
+    /// The order of this failure domain as last worked out.
+    order: Option<DomainOrder>,
+    /// Whether the membership changed since then.
+    stale: bool,
+    /// When somebody last reached the source and found no contract there.
+    seen: Option<Duration>,
+    /// When a node without a contract follows the source unless somebody has seen it.
+    patience: Duration,
+    /// When a node that has met nobody follows the source.
+    alone_after: Duration,
+}
+
+impl FollowState {
+    pub(crate) fn new(first_start: bool, seed: u64) -> Self {
+        let spread: f64 = SmallRng::seed_from_u64(seed).random();
+        // Where all nodes restart, callers are waiting, and each looks at the source at once.
+        let patience = if first_start {
+            CONTRACT_AFTER + CONTRACT_SPREAD.mul_f64(spread)
+        } else {
+            Duration::ZERO
+        };
+        Self {
+            active: false,
+            early: false,
+            changed: Duration::ZERO,
+            settled_for: if first_start {
+                FIRST_SETTLED_FOR
+            } else {
+                SETTLED_FOR
+            },
+            order: None,
+            stale: true,
+            seen: None,
+            patience,
+            alone_after: patience.max(ALONE_AFTER),
+        }
+    }
+
+    /// The membership changed.
+    pub(crate) const fn members_changed(&mut self) {
+        self.stale = true;
+    }
+
+    fn take_order(&mut self, now: Duration, order: DomainOrder) {
+        let known = self.order.as_ref().map(DomainOrder::followers);
+        if known != Some(order.followers()) {
+            self.changed = now;
+        }
+        self.order = Some(order);
+        self.stale = false;
+    }
+
+    /// Somebody reached the source so long ago, and found no contract.
+    pub(crate) fn source_seen(&mut self, now: Duration, age: Duration) {
+        let at = now.checked_sub(age);
+        self.seen = self.seen.max(at);
+    }
+
+    fn is_patient(&self, now: Duration) -> bool {
+        now < self.patience || self.seen.is_some_and(|seen| now < seen + SEEN_FOR)
+    }
+}
+
+/// The nodes of one failure domain in the order of their ids, which are hashes of their names: all nodes
+/// agree on it, and it stays over restarts.
+#[derive(Clone, Debug)]
+pub(crate) struct DomainOrder {
+    nodes: Vec<NodeId>,
+    followers: usize,
+    place: usize,
+}
+
+impl DomainOrder {
+    /// The order of these nodes and of this one, in a fleet of so many failure domains.
+    pub(crate) fn new(own: NodeId, others: BTreeSet<NodeId>, domains: usize) -> Self {
+        let mut near = others;
+        near.insert(own);
+        let nodes: Vec<NodeId> = near.into_iter().collect();
+        let place = nodes.iter().position(|node| *node == own).unwrap_or(0);
+        let followers = FOLLOWERS.div_ceil(domains.max(1)).max(DOMAIN_FOLLOWERS);
+        Self {
+            nodes,
+            followers,
+            place,
+        }
+    }
+
+    fn followers(&self) -> &[NodeId] {
+        let count = self.followers.min(self.nodes.len());
+        self.nodes.get(..count).unwrap_or_default()
+    }
+
+    /// Whether this node is at a root of the tree.
+    pub(crate) const fn is_follower(&self) -> bool {
+        self.place < self.followers
+    }
+
+    /// The nodes that this one tells of a contract.
+    pub(crate) fn children(&self) -> &[NodeId] {
+        let first = self.followers + self.place * CHILDREN;
+        let range: Range<usize> = first..first + CHILDREN;
+        let last = range.end.min(self.nodes.len());
+        self.nodes.get(range.start..last).unwrap_or_default()
+    }
+
+    /// The node that tells this one; for one at a root, the next one there, if there is another.
+    pub(crate) fn parent(&self) -> Option<NodeId> {
+        let parent = match self.place.checked_sub(self.followers) {
+            Some(below) => below / CHILDREN,
+            None => (self.place + 1) % self.followers.min(self.nodes.len()),
+        };
+        let parent = (parent != self.place).then_some(parent)?;
+        self.nodes.get(parent).copied()
+    }
+}
+
 impl NodeEngine {
     /// Tells the daemon when this node begins or ceases to follow the source.
     pub(crate) fn choose_follower(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
         let follow = self.follows_source(now);
-        if follow != self.fleet.following {
-            self.fleet.following = follow;
+        if follow != self.fleet.follow.active {
+            self.fleet.follow.active = follow;
             out.push(NodeCommand::FollowSource { follow });
         }
     }
 
-    fn follows_source(&self, now: Duration) -> bool {
-        // Failure: all nodes lose power and come back, and callers are refused for another second while
-        // each waits to hear who follows. Only a fleet that has no callers yet has that time.
-        let patience = if self.settings.first_start {
-            CONTRACT_AFTER
-        } else {
-            Duration::ZERO
-        };
-        if self.fleet.version() == 0 && now >= patience {
+    fn follows_source(&mut self, now: Duration) -> bool {
+        if self.fleet.version() == 0 && !self.fleet.follow.is_patient(now) {
             return true;
         }
         if self.roster.member_count() < 2 {
-            return self.fleet.following || now >= ALONE_AFTER;
+            return self.fleet.follow.active || now >= self.fleet.follow.alone_after;
         }
         if self.fleet.is_overdue(now, OVERDUE_AFTER) {
             return true;
         }
-        let joined = now >= self.roster_changed_at + JOINED_FOR;
-        if joined || self.fleet.following {
-            self.is_follower()
-        } else {
-            false
-        }
+        let follower = self.domain_order().is_follower();
+        let follow = &mut self.fleet.follow;
+        let settled = now >= follow.changed + follow.settled_for && self.roster.is_joined();
+        follow.early &= !settled;
+        follow.early || follower && (settled || follow.active)
+    }
+
+    /// The directory held so many entries when this node first read it. The first nodes of a fleet that
+    /// starts follow the source until the membership tells who does.
+    pub(crate) fn on_directory_read(&mut self, entries: usize) {
+        self.fleet.follow.early = self.settings.first_start && entries < FOLLOWERS;
     }
 
-    fn is_follower(&self) -> bool {
-        self.near_followers().contains(&self.own.instance.node)
+    pub(crate) fn domain_order(&mut self) -> &DomainOrder {
+        if self.fleet.follow.stale || self.fleet.follow.order.is_none() {
+            let order = self.order_domain();
+            self.fleet.follow.take_order(self.now, order);
+        }
+        let own = self.own.instance.node;
+        let order = &mut self.fleet.follow.order;
+        order.get_or_insert_with(|| DomainOrder::new(own, BTreeSet::new(), 1))
     }
 
-    /// The followers of this node's failure domain: the first of its nodes, in the order of their ids.
-    /// These are hashes of their names, so that all nodes agree on them and they stay over restarts.
-    fn near_followers(&self) -> Vec<NodeId> {
+    fn order_domain(&self) -> DomainOrder {
         let members = self.roster.members();
         let present = members.iter().filter(|member| member.standing.is_present());
         let mut domains = BTreeSet::from([&self.own.domain]);
-        let mut near = BTreeSet::from([self.own.instance.node]);
+        let mut near = BTreeSet::new();
         for member in present {
             domains.insert(&member.facts.domain);
             if member.facts.domain == self.own.domain {
                 near.insert(member.facts.instance.node);
             }
         }
-        let count = FOLLOWERS
-            .div_ceil(domains.len())
-            .max(near.len().div_ceil(FOLLOWED_MOST))
-            .max(DOMAIN_FOLLOWERS);
-        near.into_iter().take(count).collect()
-    }
-
-    /// A follower tells the nodes of its failure domain that it has a version.
-    ///
-    /// Failure: while a part of a large fleet restarts, its gossip is full of that, and some nodes hear of a
-    /// new contract only after seconds. Within a failure domain a word to each node costs some bytes over
-    /// the shortest links, and all know within one hop.
+        DomainOrder::new(self.own.instance.node, near, domains.len())
+    }
+
+    /// Tells the nodes below this one in its failure domain that it has a version.
     pub(crate) fn tell_head(&mut self, version: u64, out: &mut Vec<NodeCommand>) {
-        if !self.fleet.following {
-            return;
-        }
-        let own = self.own.instance.node;
-        let members = self.roster.members();
-        let near = members.iter().filter(|member| {
-            member.standing.is_present()
-                && member.facts.domain == self.own.domain
-                && member.facts.instance.node != own
-        });
-        let near: Vec<InstanceId> = near.map(|member| member.facts.instance).collect();
-        for peer in near {
-            self.send_peer(peer, PeerMessage::FleetHead { version }, out);
+        let children = self.domain_order().children().to_vec();
+        let present = children.iter().filter_map(|node| self.instance_of(*node));
+        let present: Vec<InstanceId> = present.collect();
+        for child in present {
+            self.send_peer(child, PeerMessage::FleetHead { version }, out);
         }
     }
 
-    /// The follower of this node's failure domain that it asks first for a contract.
-    ///
-    /// Failure: all nodes ask the one that told of a version. It sends a contract of some ten KB to hundreds
-    /// of nodes over a link of 20 Mbit/s, which takes seconds, and the contract is late on most of them. The
-    /// nodes of a domain divide themselves over its followers, which heard it from the source.
-    pub(crate) fn near_follower(&mut self) -> Option<NodeId> {
-        let own = self.own.instance.node;
-        let followers = self.near_followers();
-        let others: Vec<NodeId> = followers.into_iter().filter(|node| *node != own).collect();
-        let place = self.fleet.random.random_range(0..others.len().max(1));
-        others.get(place).copied()
+    /// What this node can say of a source without a contract: how long ago somebody reached it.
+    pub(crate) fn source_seen_ago(&self, now: Duration) -> Option<Duration> {
+        if self.fleet.follow.active && self.log_reachable {
+            return Some(Duration::ZERO);
+        }
+        let seen = self.fleet.follow.seen?;
+        let age = now.saturating_sub(seen);
+        (age < SEEN_FOR).then_some(age)
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -34,6 +34,7 @@
 mod holding;
 mod ingress;
 mod leaving;
+mod meeting;
 mod membership;
 mod message;
 mod node;
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -112,6 +112,7 @@
                 // node. Grants and connections are bound to the life this one started with, so it
                 // leaves instead of acting under two names; a start with a right clock heals it.
                 out.push(NodeCommand::Note(NodeNote::IncarnationRaised(instance)));
+                out.push(NodeCommand::RecordIncarnation(instance.incarnation));
                 self.on_superseded(now, out);
             }
             RosterCommand::Superseded { by } => {
@@ -148,6 +149,7 @@
         self.share_members.insert(instance.node, member);
         self.tell_guard(now, GuardEvent::MemberUp { instance, domain }, out);
         self.ask_for_leavings(instance, out);
+        self.fleet.follow.members_changed();
         self.roster_changed(now, out);
     }
 
@@ -167,6 +169,7 @@
         out: &mut Vec<NodeCommand>,
     ) {
         out.push(NodeCommand::Note(NodeNote::MemberDown { instance, cause }));
+        self.fleet.follow.members_changed();
         match cause {
             DownCause::Left => {
                 self.remove_left(instance);
@@ -294,7 +297,7 @@
             }
             PeerMessage::ContractPull {
                 ask: ContractAsk::Fleet { newer_than },
-            } => self.on_fleet_ask(from, newer_than, out),
+            } => self.on_fleet_ask(now, from, newer_than, out),
             PeerMessage::ContractPage {
                 ask: ContractAsk::Fleet { .. },
                 page,
@@ -303,7 +306,8 @@
             PeerMessage::ContractPage { ask, page } => {
                 self.on_contract_page(now, from, &ask, &page, out);
             }
-            PeerMessage::FleetHead { version } => self.on_head_told(now, from, version),
+            PeerMessage::FleetHead { version } => self.on_head_told(now, from, version, out),
+            PeerMessage::SourceSeen { age } => self.fleet.follow.source_seen(now, age),
             PeerMessage::Quota(message) => self.on_quota_message(now, from, message),
             PeerMessage::Leaving(message) => self.on_leaving_message(now, from, message, out),
         }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -1,5 +1,7 @@
 //! What nodes say to each other over the inner protocol's message streams.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use sycamorelink_core::{AttemptId, CustomerName, InstanceId, ServiceName, UpstreamId};
 use sycamorelink_guard::GuardMessage;
@@ -83,7 +85,7 @@
         /// The page, as JSON.
         page: Vec<u8>,
     },
-    /// Tells that the sender, which follows the source, has this version of the fleet contract.
+    /// Tells that the sender has this version of the fleet contract, to be taken from it.
     FleetHead {
         /// The version.
         version: u64,
@@ -92,6 +94,11 @@
     Quota(QuotaMessage),
     /// Backend servers that leave, kept for the next life of the node beside them.
     Leaving(LeavingMessage),
+    /// The source of the fleet contract was reached, and had no contract.
+    SourceSeen {
+        /// How long ago.
+        age: Duration,
+    },
 }
 
 /// Which contracts a node asks a peer for.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -21,6 +21,7 @@
 use crate::fencing::FenceMark;
 use crate::fleet::{ContractForm, FleetState};
 use crate::leaving::LeavingRecords;
+use crate::meeting::MeetingState;
 use crate::quotas::QuotaState;
 use crate::repeats::RepeatPots;
 use crate::request::{RequestState, WorkState};
@@ -106,6 +107,7 @@
     pub(crate) table: Arc<RouteTable>,
     pub(crate) in_force: BTreeMap<CustomerIndex, ContractVersion>,
     pub(crate) fleet: FleetState,
+    pub(crate) meeting: MeetingState,
     pub(crate) quotas: QuotaState,
     pub(crate) leavings: LeavingRecords,
     pub(crate) roster: NodeRoster,
@@ -180,6 +182,8 @@
         let first_asked = usize::try_from(own.instance.node.0 ^ seed).unwrap_or(0);
         let roster = NodeRoster::new(settings.roster.clone(), own.clone(), seed);
         let quotas = QuotaState::new(settings.quota, seed);
+        let fleet = FleetState::new(settings.first_start, seed);
+        let meeting = MeetingState::new(settings.first_start);
         let recalls = settings.contracts == ContractForm::Fleet && !settings.first_start;
         let leavings = if recalls {
             LeavingRecords::default()
@@ -197,7 +201,8 @@
             book: ContractBook::new(),
             table: Arc::default(),
             in_force: BTreeMap::new(),
-            fleet: FleetState::new(seed),
+            fleet,
+            meeting,
             quotas,
             leavings,
             share_queue: BTreeMap::new(),
@@ -299,6 +304,7 @@
             NodeEvent::LogCurrent { stream, whole } => self.on_log_current(now, stream, whole, out),
             NodeEvent::LogGap { stream, first } => self.on_log_gap(now, stream, first, out),
             NodeEvent::FleetContract(contract) => self.adopt_fleet(now, contract, None, out),
+            NodeEvent::DirectoryRead { entries } => self.on_directory_read(entries),
             NodeEvent::LogReachable(reachable) => self.on_log_reachable(now, reachable, out),
             NodeEvent::ContractReadBack { offset, bytes } => self.on_read_back(offset, &bytes),
             NodeEvent::DrainRequested => self.on_drain(now, out),
@@ -360,7 +366,11 @@
         if !self.seeded {
             self.seeded = true;
             let seeds = std::mem::take(&mut self.first_seeds);
-            self.tell_roster(now, RosterEvent::Seeds(seeds), out);
+            // Under a fleet contract seeds are read from a directory. A node that took itself for joined
+            // before it has any would take up the whole membership only slowly.
+            if !seeds.is_empty() || !self.has_fleet_form() {
+                self.tell_roster(now, RosterEvent::Seeds(seeds), out);
+            }
             let member = ShareMember {
                 instance: self.own.instance,
                 domain: self.own.domain.clone(),
@@ -390,6 +400,7 @@
         self.lapse_upstreams(now, out);
         if self.has_fleet_form() {
             self.tick_leavings(now, out);
+            self.tick_meeting(now, out);
             self.choose_follower(now, out);
             self.pull_fleet(now, out);
             self.tick_quotas(now, out);
--- a/crates/engine/src/pulling.rs
+++ b/crates/engine/src/pulling.rs
@@ -99,9 +99,8 @@
         let page = match &ask {
             ContractAsk::Page(after) => self.book.page(after.as_ref(), PAGE_BYTES),
             ContractAsk::Newer(version) => self.book.newer(ContractVersion(*version)),
-            ContractAsk::Fleet { newer_than } => {
-                return self.on_fleet_ask(from, *newer_than, out);
-            }
+            // A fleet contract is asked for and answered apart from the pages of customers' contracts.
+            ContractAsk::Fleet { .. } => return,
         };
         if let Ok(page) = serde_json::to_vec(&page) {
             self.send_peer(from, PeerMessage::ContractPage { ask, page }, out);
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -411,18 +411,18 @@
     let mut world = SessionWorld::start_fleet_in(1, 14, contract(3, "/prices/"));
     world.run_for(REST);
     let before = world.followers.len();
-    world.tell(
-        "b",
-        NodeEvent::FleetContract(Arc::new(contract(7, "/rates/"))),
-    );
-    world.run_for(Duration::from_millis(100));
-    world.kill("b");
     for number in (0..14).filter(|number| *number != 1) {
         for other in 0..14 {
             let way = (node(&name_of(number)), node(&name_of(other)));
             world.wire.cuts.insert(way);
         }
     }
+    world.tell(
+        "b",
+        NodeEvent::FleetContract(Arc::new(contract(7, "/rates/"))),
+    );
+    world.run_for(Duration::from_millis(700));
+    world.kill("b");
     world.run_for(Duration::from_secs(2));
     assert!(
         world.followers.len() > before,
