A node that starts takes up the whole membership over connections

Gossip of 7 KB a second takes more than a minute to tell all of a thousand nodes to all. Nearly a quarter of the nodes had met nobody after three seconds, since the answers to nodes that ask for contact went behind the news of new nodes. And a node without seeds in its settings took itself for joined at once, so that it compared its membership every three seconds instead of every 0.3. Ruled out: a choice by proof (requests to the busiest were first attempts, nothing told of them); failure domains of unequal size (at most 1.8 times). Change: for at least six seconds, and until two answers in a row tell nearly nothing, a node asks one peer after the other for all that it lacks, by the hashes of its buckets, over the inner protocol. What nodes know doubles with each round. An answer has at most the whole membership: some 100 KB at 983 nodes, 200 KB at twice the size, 1.3 MB at 12,069, below the 4 MB that a message may have. In steady state a start costs one such answer. Answers to nodes that ask for contact go before news of nodes.

--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -477,3 +477,19 @@
     let behind = engines.values().filter(|node| node.fleet_version() < 7);
     assert_eq!(behind.count(), 0);
 }
+
+// Guards against calls of every node of a fleet that starts before its contract is published.
+#[test]
+fn few_nodes_of_a_fleet_that_starts_look_for_a_contract_that_is_not_there() {
+    let mut world = SessionWorld::start_fleet_first(3, 48);
+    let mut most = 0;
+    for _ in 0..100 {
+        world.run_for(Duration::from_millis(100));
+        most = most.max(world.followers.len());
+    }
+    assert!((1..=15).contains(&most), "{most} of 48 followed the source");
+    tell_followers(&mut world, 7);
+    world.run_for(Duration::from_secs(1));
+    let engines = world.engines();
+    assert!(engines.values().all(|engine| engine.fleet_version() == 7));
+}
--- a/crates/roster/src/node/contact.rs
+++ b/crates/roster/src/node/contact.rs
@@ -72,7 +72,8 @@
     /// Answers a node that asks for contact.
     pub(super) fn welcome(&mut self, step: &mut RosterStep<'_>, from: SocketAddr) {
         let rumours: Vec<MemberRumour> = self.own_rumour().into_iter().collect();
-        self.send(step, SendClass::Up, from, MessagePurpose::State, rumours);
+        // Where many nodes start at once this goes before the news of them, which fills the budget.
+        self.send(step, SendClass::Head, from, MessagePurpose::State, rumours);
     }
 
     /// A request did not get through. The observers that matter are those who use the system:
--- a/crates/roster/src/node/gossip.rs
+++ b/crates/roster/src/node/gossip.rs
@@ -124,7 +124,7 @@
     ) -> bool {
         let message = RosterMessage {
             from: self.own_instance(),
-            root: if self.joined { self.root() } else { 0 },
+            root: self.told_root(),
             purpose,
             rumours,
         };
--- a/crates/roster/src/node/mod.rs
+++ b/crates/roster/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod suspect;
 mod sync;
 mod transition;
+mod whole;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -230,6 +231,11 @@
         self.table.digest().root() ^ self.topics.digest()
     }
 
+    /// The root as others are told it: zero while joining.
+    pub(crate) const fn told_root(&self) -> u32 {
+        if self.joined { self.root() } else { 0 }
+    }
+
     /// Failure: this process did not run for a while. Symptom: every answer of that time seems
     /// missing, and peers that answered seem dead. Moving the timers by the gap and dropping the
     /// probes under way is enough, because nothing is decided without a fresh probe.
