--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -34,8 +34,9 @@
 /// How long the first nodes of a failure domain must be the same before a node trusts the membership to tell
 /// who follows: some rounds of gossip.
 const SETTLED_FOR: Duration = Duration::from_millis(300);
-/// The same in a fleet that starts for the first time, whose nodes join over some time.
-const FIRST_SETTLED_FOR: Duration = Duration::from_millis(1500);
+/// The same in a fleet that starts for the first time, whose nodes join over some time: until then the first of
+/// them follow.
+const FIRST_SETTLED_FOR: Duration = Duration::from_secs(4);
 /// When a node that has met nobody follows the source by itself. In a fleet that starts for the first time
 /// it waits as long as for a contract, since nodes meet over some time.
 const ALONE_AFTER: Duration = Duration::from_millis(700);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -33,7 +33,6 @@
 mod guarding;
 mod holding;
 mod ingress;
-mod joining;
 mod leaving;
 mod meeting;
 mod membership;
--- a/crates/roster/src/node/mod.rs
+++ b/crates/roster/src/node/mod.rs
@@ -16,7 +16,6 @@
 mod suspect;
 mod sync;
 mod transition;
-mod whole;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
