Put the membership over connections in again, mostly asked of near nodes with growing pauses

A server's part of the bound on repeats is the slack divided by the servers that its node knows, 61 of 816 when traffic begins, so that the parts together were many times the slack, and a service of which all servers reject used them. Not kept: asking more servers for a repeat.

--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -168,6 +168,13 @@
         self.nodes.get(range.start..last).unwrap_or_default()
     }
 
+    /// Another node of the domain, each in its turn.
+    pub(crate) fn other_at(&self, turn: usize) -> Option<NodeId> {
+        let others = self.nodes.len().checked_sub(1).filter(|count| *count > 0)?;
+        let place = (self.place + 1 + turn % others) % self.nodes.len();
+        self.nodes.get(place).copied()
+    }
+
     /// The node that tells this one; for one at a root, the next one there, if there is another.
     pub(crate) fn parent(&self) -> Option<NodeId> {
         let parent = match self.place.checked_sub(self.followers) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -33,6 +33,7 @@
 mod guarding;
 mod holding;
 mod ingress;
+mod joining;
 mod leaving;
 mod meeting;
 mod membership;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -7,6 +7,7 @@
 use sycamorelink_guard::GuardMessage;
 use sycamorelink_limits::{CrashMessage, QuotaMessage, ShareMember, ShareMessage};
 use sycamorelink_policy::{LoadHint, UpstreamEvidence};
+use sycamorelink_roster::RosterMessage;
 
 use crate::leaving::LeavingMessage;
 
@@ -99,6 +100,16 @@
         /// How long ago.
         age: Duration,
     },
+    /// Asks for what the sender lacks of the membership.
+    RosterAsk {
+        /// Hashes of what it holds.
+        hashes: Vec<u8>,
+    },
+    /// What the receiver lacks of the membership.
+    RosterState {
+        /// The state, taken like a datagram.
+        state: RosterMessage,
+    },
 }
 
 /// Which contracts a node asks a peer for.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -20,6 +20,7 @@
 use crate::event::{LifeId, NodeEvent, UpstreamAnnouncement};
 use crate::fencing::FenceMark;
 use crate::fleet::{ContractForm, FleetState};
+use crate::joining::JoinState;
 use crate::leaving::LeavingRecords;
 use crate::meeting::MeetingState;
 use crate::quotas::QuotaState;
@@ -108,6 +109,7 @@
     pub(crate) in_force: BTreeMap<CustomerIndex, ContractVersion>,
     pub(crate) fleet: FleetState,
     pub(crate) meeting: MeetingState,
+    pub(crate) joining: JoinState,
     pub(crate) quotas: QuotaState,
     pub(crate) leavings: LeavingRecords,
     pub(crate) roster: NodeRoster,
@@ -203,6 +205,7 @@
             in_force: BTreeMap::new(),
             fleet,
             meeting,
+            joining: JoinState::default(),
             quotas,
             leavings,
             share_queue: BTreeMap::new(),
@@ -401,6 +404,7 @@
         if self.has_fleet_form() {
             self.tick_leavings(now, out);
             self.tick_meeting(now, out);
+            self.tick_joining(now, out);
             self.choose_follower(now, out);
             self.pull_fleet(now, out);
             self.tick_quotas(now, out);
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod fleet_form;
 mod found;
+mod joining;
 mod leaving;
 mod scenes;
 mod world;
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -125,6 +125,8 @@
     domains: Option<u8>,
     /// Whether the whole fleet starts for the first time.
     first_start: bool,
+    /// Bytes that each node's gossip may send a second, where that is not the default.
+    gossip_bytes: Option<u32>,
     /// The fleet contract that nodes start with; none when customers' contracts are in the log.
     fleet: Option<Arc<FleetContract>>,
     /// Nodes that stand still, with the events that wait for them.
@@ -171,7 +173,7 @@
     /// A fleet that starts for the first time, whose contract is not at its source yet. Each node finds the
     /// nodes before it in the directory.
     pub fn start_fleet_first(domains: u8, count: u8) -> Self {
-        let mut world = Self::start_with(0, None, Some(domains));
+        let mut world = Self::start_all(0, None, Some(domains), None);
         world.first_start = true;
         for number in 0..count {
             world.start_node(number, 1);
@@ -181,12 +183,26 @@
         world
     }
 
+    /// The same where each node's gossip may send only so many bytes a second.
+    pub fn start_fleet_with_gossip(count: u8, contract: FleetContract, bytes: u32) -> Self {
+        Self::start_all(count, Some(Arc::new(contract)), None, Some(bytes))
+    }
+
     /// The same with the nodes spread over so many failure domains.
     pub fn start_fleet_in(domains: u8, count: u8, contract: FleetContract) -> Self {
         Self::start_with(count, Some(Arc::new(contract)), Some(domains))
     }
 
     fn start_with(count: u8, fleet: Option<Arc<FleetContract>>, domains: Option<u8>) -> Self {
+        Self::start_all(count, fleet, domains, None)
+    }
+
+    fn start_all(
+        count: u8,
+        fleet: Option<Arc<FleetContract>>,
+        domains: Option<u8>,
+        gossip_bytes: Option<u32>,
+    ) -> Self {
         let mut world = Self {
             now: Duration::ZERO,
             sequence: 0,
@@ -206,6 +222,7 @@
             domains,
             fleet,
             first_start: false,
+            gossip_bytes,
             frozen: BTreeMap::new(),
             born: BTreeMap::new(),
             cursors: BTreeMap::new(),
@@ -261,6 +278,10 @@
             settings.contracts = ContractForm::Fleet;
             settings.gate.warm_up = Duration::ZERO;
         }
+        if let Some(bytes) = self.gossip_bytes {
+            settings.roster.bytes_per_second = bytes;
+            settings.roster.burst_bytes = bytes;
+        }
         let engine = NodeEngine::new(facts, settings, wall, seed);
         self.born.insert(id, self.now);
         self.down.remove(&id);
--- a/crates/roster/src/node/mod.rs
+++ b/crates/roster/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod suspect;
 mod sync;
 mod transition;
+mod whole;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/roster/src/node/sync.rs
+++ b/crates/roster/src/node/sync.rs
@@ -306,7 +306,7 @@
     }
 
     /// All that is known of one member, in pieces that fit a datagram each.
-    fn state_of(&self, node: NodeId) -> Vec<MemberRumour> {
+    pub(super) fn state_of(&self, node: NodeId) -> Vec<MemberRumour> {
         /// Bytes of one run at its longest.
         const RUN_BYTES: usize = 3 + 3 + 3 + 1 + 5;
         let Some(entry) = self.table.get(node) else {
