--- a/crates/engine/src/joining.rs
+++ b/crates/engine/src/joining.rs
@@ -14,10 +14,10 @@
 use crate::message::PeerMessage;
 use crate::node::NodeEngine;
 
-/// Pause after the first question: the whole membership of a thousand nodes is some 100 KB, a twentieth of a
+/// Pause between two questions while answers bring news: the whole membership of a thousand nodes is some 100 KB, a twentieth of a
 /// second over a link of 20 Mbit/s.
 const ASK_PAUSE: Duration = Duration::from_millis(600);
-/// Growth of the pause from one question to the next: the later the answer, the fewer are needed.
+/// Growth of the pause with each answer in a row that tells nearly nothing.
 const PAUSE_GROWTH: f64 = 1.4;
 /// One question in so many goes to any node, the others to nodes of the own failure domain: bytes between
 /// domains have a price.
@@ -63,7 +63,6 @@
         let state = &mut self.joining;
         state.asked += 1;
         state.next = now + state.pause;
-        state.pause = state.pause.mul_f64(PAUSE_GROWTH);
         let hashes = self.roster.bucket_hashes();
         self.send_peer(peer, PeerMessage::RosterAsk { hashes }, out);
     }
@@ -101,8 +100,10 @@
         let few = self.roster.member_count().div_ceil(QUIET_PART);
         if state.rumours.len() <= few {
             self.joining.quiet += 1;
+            self.joining.pause = self.joining.pause.mul_f64(PAUSE_GROWTH);
         } else {
             self.joining.quiet = 0;
+            self.joining.pause = ASK_PAUSE;
         }
         let event = RosterEvent::Datagram {
             from: member.facts.gossip_address,
