--- a/crates/roster/src/node/sync.rs
+++ b/crates/roster/src/node/sync.rs
@@ -20,6 +20,7 @@
 use rand::seq::SliceRandom;
 use sycamorelink_core::NodeId;
 
+use super::whole::read_hashes;
 use super::{NodeRoster, RosterStep};
 use crate::budget::SendClass;
 use crate::digest::BUCKETS;
@@ -47,9 +48,6 @@
 /// Members whose state is sent for one request.
 const STATE_NODES: usize = 32;
 
-/// Bytes of one bucket hash.
-const HASH_BYTES: usize = 4;
-
 /// A member's state that a peer may lack.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StateOffer {
@@ -103,10 +101,7 @@
             JOIN_SYNC
         };
         self.timers.sync = step.now + interval;
-        let mut hashes = Vec::with_capacity((BUCKETS + 1) * HASH_BYTES);
-        for bucket in 0..BUCKETS {
-            hashes.extend(self.table.digest().hash(bucket).to_le_bytes());
-        }
+        let mut hashes = self.bucket_hashes();
         hashes.extend(self.topics.digest().to_le_bytes());
         let purpose = MessagePurpose::Buckets { hashes };
         self.send(step, SendClass::Sync, to, purpose, Vec::new());
@@ -119,11 +114,7 @@
         to: SocketAddr,
         hashes: &[u8],
     ) {
-        let theirs: Vec<u32> = hashes
-            .chunks_exact(HASH_BYTES)
-            .filter_map(|bytes| bytes.try_into().ok())
-            .map(u32::from_le_bytes)
-            .collect();
+        let theirs = read_hashes(hashes);
         if theirs.len() != BUCKETS + 1 {
             return;
         }
--- a/crates/roster/src/node/whole.rs
+++ b/crates/roster/src/node/whole.rs
@@ -22,11 +22,7 @@
     /// the peer takes like a datagram, but of any size. Hashes of another form differ everywhere.
     #[must_use]
     pub fn state_beyond(&self, hashes: &[u8]) -> RosterMessage {
-        let theirs: Vec<u32> = hashes
-            .chunks_exact(HASH_BYTES)
-            .filter_map(|bytes| bytes.try_into().ok())
-            .map(u32::from_le_bytes)
-            .collect();
+        let theirs = read_hashes(hashes);
         let differing = (0..BUCKETS)
             .filter(|bucket| theirs.get(*bucket) != Some(&self.table.digest().hash(*bucket)));
         let members = differing.flat_map(|bucket| self.table.bucket(bucket));
@@ -41,3 +37,10 @@
         }
     }
 }
+
+/// Bucket hashes as [`NodeRoster::bucket_hashes`] writes them.
+pub(super) fn read_hashes(bytes: &[u8]) -> Vec<u32> {
+    let hashes = bytes.chunks_exact(HASH_BYTES);
+    let hashes = hashes.filter_map(|bytes| bytes.try_into().ok());
+    hashes.map(u32::from_le_bytes).collect()
+}
