Log the repeat budget and followers of the contract source

Logs could not separate the possible causes of two reports: contracts in force too late, and repeats beyond the bound. A repeat refused for the bound was not logged at all. No line gave the number of servers that the bound was divided among, which nodes followed the source of contracts, or how long a version had been known before it was in force.

For a repeat, SL2017 and SL2018 now include the number of repeats left at the server and the number of servers of the service known to the node. SL2018 is also logged for a repeat that the bound refuses. The new event SL5013 is logged when a node starts or stops following the source. SL5003 includes the time since the version was first heard of.

No decision changes, except that reading the budget for a line redraws a threshold that was due.

--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -94,6 +94,7 @@
             | NodeNote::Superseded(_) => self.member(now, note),
             NodeNote::ContractAccepted { .. }
             | NodeNote::FleetContractTaken { .. }
+            | NodeNote::SourceFollowed { .. }
             | NodeNote::ContractRejected { .. }
             | NodeNote::PoisonRecord { .. }
             | NodeNote::ContractsCarried { .. }
@@ -234,13 +235,28 @@
                 version,
                 before,
                 from,
+                heard_ago,
             } => {
+                let reason =
+                    heard_ago.map(|age| format!("first heard of {}ms ago", age.as_millis()));
                 let mut fields = EventFields::new().version(version).limit(before);
                 if let Some(from) = from {
                     fields = fields.peer(from);
                 }
+                if let Some(reason) = &reason {
+                    fields = fields.reason(reason);
+                }
                 self.emit(EventCode::ContractInForce, &fields);
             }
+            NodeNote::SourceFollowed {
+                follow,
+                version,
+                members,
+            } => {
+                let reason = if *follow { "started" } else { "stopped" };
+                let fields = EventFields::new().version(version).count(members);
+                self.emit(EventCode::SourceFollowed, &fields.reason(&reason));
+            }
             NodeNote::ContractRejected { offset, reason } => {
                 let fields = EventFields::new().offset(offset).reason(reason);
                 self.emit(EventCode::ContractRejected, &fields);
--- a/crates/daemon/src/notes/attempts.rs
+++ b/crates/daemon/src/notes/attempts.rs
@@ -1,7 +1,7 @@
 //! What is told of each attempt: where it went and from what view, what the node beside the upstream
 //! decided, and how it ended there.
 
-use sycamorelink_engine::NodeNote;
+use sycamorelink_engine::{NodeNote, RepeatBudgetView};
 use sycamorelink_policy::UpstreamView;
 use sycamorelink_telemetry::{EventCode, EventFields, MetricName};
 
@@ -40,10 +40,14 @@
                 load,
                 odds,
                 left,
+                repeat_budget,
             } => {
                 let reason = format!(
-                    "attempt {number}, {} of {} slots in use, {} waiting, odds {odds:.1}",
-                    load.in_use, load.slots, load.queued
+                    "attempt {number}, {} of {} slots in use, {} waiting, odds {odds:.1}{}",
+                    load.in_use,
+                    load.slots,
+                    load.queued,
+                    repeat_budget.map_or_else(String::new, repeat_budget_text)
                 );
                 let left = format!("{}ms", left.as_millis());
                 let fields = EventFields::new().request(label).service(service);
@@ -82,6 +86,11 @@
     }
 }
 
+fn repeat_budget_text(budget: RepeatBudgetView) -> String {
+    let RepeatBudgetView { servers, left } = budget;
+    format!(", repeat ({left} left at this server, {servers} servers known)")
+}
+
 fn view_text(view: &UpstreamView) -> String {
     let told = view.told.map_or_else(
         || "nothing told".to_owned(),
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -53,6 +53,7 @@
             && !self.take_repeat(now, slot, state.offer.kind)
         {
             let refusal = RequestRefusal::not_run(RefusalCode::RepeatsSpent);
+            self.note_offer_decided(&state.offer, Some(refusal.code), state.offer.time_left, out);
             let load = self.load_of(slot);
             out.push(NodeCommand::RefuseWork {
                 work,
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -141,6 +141,12 @@
         newer.is_some_and(|(.., heard)| now >= heard + patience)
     }
 
+    /// Time since this version was first heard of; none unless it is the newest version heard of.
+    fn heard_ago(&self, now: Duration, version: u64) -> Option<Duration> {
+        let head = self.head.filter(|(newest, ..)| *newest == version);
+        head.map(|(.., heard)| now.saturating_sub(heard))
+    }
+
     /// The version in force, 0 for none.
     pub(crate) fn version(&self) -> u64 {
         self.known.as_ref().map_or(0, |(_, table)| table.version())
@@ -190,6 +196,7 @@
             version,
             before,
             from,
+            heard_ago: self.fleet.heard_ago(now, version),
         }));
         self.refresh_fleet_pools();
         self.refresh_quotas();
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -21,6 +21,7 @@
 use crate::command::NodeCommand;
 use crate::message::PeerMessage;
 use crate::node::NodeEngine;
+use crate::note::NodeNote;
 
 /// Nodes of the whole fleet that follow the source, spread over the failure domains. Where a third of all
 /// nodes is turned away by it at the same time, the chance that none of nine is served is one in 20,000.
@@ -193,6 +194,11 @@
         if follow != self.fleet.follow.active {
             self.fleet.follow.active = follow;
             out.push(NodeCommand::FollowSource { follow });
+            out.push(NodeCommand::Note(NodeNote::SourceFollowed {
+                follow,
+                version: self.fleet.version(),
+                members: self.roster.member_count(),
+            }));
         }
     }
 
--- a/crates/engine/src/holding.rs
+++ b/crates/engine/src/holding.rs
@@ -14,7 +14,7 @@
 use sycamorelink_policy::{BreakerVerdict, PolicyMechanism, SampleKind};
 
 use crate::command::NodeCommand;
-use crate::event::WorkReport;
+use crate::event::{WorkOffer, WorkReport};
 use crate::executor::upstream_id;
 use crate::node::NodeEngine;
 use crate::note::NodeNote;
@@ -55,7 +55,7 @@
 
     /// Tells what was decided on work, with what decided it.
     pub(crate) fn note_decided(
-        &self,
+        &mut self,
         work: WorkId,
         refused: Option<RefusalCode>,
         out: &mut Vec<NodeCommand>,
@@ -63,18 +63,30 @@
         let Some(state) = self.works.get(&work) else {
             return;
         };
-        let slot = state.offer.slot;
-        let load = self.load_of(slot);
-        let odds = self.odds_of(slot);
+        let left = state.deadline.saturating_sub(self.now);
+        let offer = state.offer.clone();
+        self.note_offer_decided(&offer, refused, left, out);
+    }
+
+    /// Reports the decision on an offer, including one refused before it is tracked as work.
+    pub(crate) fn note_offer_decided(
+        &mut self,
+        offer: &WorkOffer,
+        refused: Option<RefusalCode>,
+        left: Duration,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let repeat_budget = self.repeat_budget_view(self.now, offer);
         out.push(NodeCommand::Note(NodeNote::WorkDecided {
-            label: Arc::clone(&state.offer.label),
-            number: state.offer.attempt.number,
-            id: upstream_id(self.own.instance, slot),
-            service: state.offer.service.clone(),
+            label: Arc::clone(&offer.label),
+            number: offer.attempt.number,
+            id: upstream_id(self.own.instance, offer.slot),
+            service: offer.service.clone(),
             refused,
-            load,
-            odds,
-            left: state.deadline.saturating_sub(self.now),
+            load: self.load_of(offer.slot),
+            odds: self.odds_of(offer.slot),
+            left,
+            repeat_budget,
         }));
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -59,5 +59,6 @@
 pub use message::{ContractAsk, PeerMessage};
 pub use node::NodeEngine;
 pub use note::{NodeNote, RequestSummary};
+pub use repeats::RepeatBudgetView;
 pub use settings::{EngineSettings, LEAVE_SERVING};
 pub use status::{MemberStatus, NodeStatus, ServiceStatus, UpstreamStatus};
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -13,6 +13,7 @@
 use sycamorelink_roster::{DownCause, RosterNote};
 
 use crate::event::WorkEnd;
+use crate::repeats::RepeatBudgetView;
 
 /// One thing worth an event.
 #[derive(Clone, Debug)]
@@ -165,6 +166,8 @@
         odds: f64,
         /// Time left to the deadline.
         left: Duration,
+        /// State of the bound on repeats; none unless this is a repeat counted at its server.
+        repeat_budget: Option<RepeatBudgetView>,
     },
     /// Work ended at an upstream.
     WorkDone {
@@ -206,6 +209,18 @@
         before: u64,
         /// The peer that it came from; none when it came from its source.
         from: Option<InstanceId>,
+        /// Time since this node first heard of the version; none unless it is the newest version
+        /// heard of.
+        heard_ago: Option<Duration>,
+    },
+    /// This node started or stopped following the source of fleet contracts.
+    SourceFollowed {
+        /// Whether it now follows the source.
+        follow: bool,
+        /// The version in force.
+        version: u64,
+        /// Number of present members in its roster, including itself.
+        members: usize,
     },
     /// A change in the log has no effect.
     ContractRejected {
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -19,7 +19,7 @@
 use sycamorelink_policy::{OpenWork, PolicyMechanism};
 
 use crate::budgets::percent_of;
-use crate::event::ArrivalKind;
+use crate::event::{ArrivalKind, WorkOffer};
 use crate::node::NodeEngine;
 use crate::request::WorkPhase;
 
@@ -37,6 +37,15 @@
     calling: RetryBudget,
 }
 
+/// A backend server's part of the bound on repeats when a repeat is decided on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepeatBudgetView {
+    /// Servers of the service in this node's roster, among which the bound is divided.
+    pub servers: usize,
+    /// Whole repeats left at the server.
+    pub left: u64,
+}
+
 impl RepeatPots {
     fn new(settings: &BudgetSettings) -> Self {
         let calling = BudgetSettings {
@@ -84,6 +93,21 @@
         taken
     }
 
+    /// State of the bound on repeats at the offered server; none unless the offer is a repeat
+    /// counted there.
+    pub(crate) fn repeat_budget_view(
+        &mut self,
+        now: Duration,
+        offer: &WorkOffer,
+    ) -> Option<RepeatBudgetView> {
+        if offer.arrival != ArrivalKind::Repeat || !self.counts_repeats_beside() {
+            return None;
+        }
+        let servers = self.roster.upstreams(offer.service.as_str()).len();
+        let left = self.pots(now, offer.slot)?.all.balance(now);
+        Some(RepeatBudgetView { servers, left })
+    }
+
     /// Gives back what work took that is not handed to its server.
     pub(crate) fn return_repeat(&mut self, now: Duration, work: WorkId) {
         let state = self.works.get(&work);
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -180,6 +180,7 @@
     5010 PublishUnconfirmed Warn "publish-unconfirmed" "it is not yet known whether a published change is in the log";
     5011 CarryOverdue Error "carry-overdue" "contracts are close to the end of their retention and not yet carried forward";
     5012 ContractMissing Error "contract-missing" "this daemon has no contracts and refuses requests";
+    5013 SourceFollowed Info "source-followed" "this daemon started or stopped following the source of contracts";
 
     6001 MemberUp Info "member-up" "a daemon joined the roster";
     6002 MemberDown Warn "member-down" "a daemon is down for the roster";
--- a/crates/telemetry/src/event/entries/contract.rs
+++ b/crates/telemetry/src/event/entries/contract.rs
@@ -92,4 +92,13 @@
         act: "Look for `SL7001` and whether the daemon reaches any peer (`SL6008`). In a new \
                 fleet: publish the first contract.",
     },
+    EventEntry {
+        code: EventCode::SourceFollowed,
+        reserved: false,
+        means: "A few daemons of each failure domain read the source of contracts and pass new versions \
+                on to the others. `reason` is `started` or `stopped`, `version` is the version in \
+                force, and `count` the number of present members in the roster of this daemon.",
+        act: "Nothing. When contracts arrive late, check which daemons followed the source at that \
+                time and whether they logged `SL7001`.",
+    },
 ];
