Deliver contracts to a failure domain whose followers are cut off

Callers got 404 on a route that had been added more than 2 s earlier (CONFIG), from nodes that were connected.

Cause: a node that was behind waited 0.2 s for its own domain, then asked one peer every 0.4 s, and queried the source after 1 s, but each newer version it heard of restarted all of these timers. With changes less than a second apart, the last resort was never reached. In addition, a node received contracts down the tree of its failure domain from a single parent. While the nodes above it were cut off and not yet detected as dead, for 2 to 8 s, it had only gossip and one query per second to a node in turn.

Timers now start from the time when the oldest missing version was first heard of. A node that adopts a contract also tells two nodes of other failure domains. These ask it for the contract only if their own domain has not delivered it after 0.2 s, so that a contract rarely crosses domains twice. After a first query without an answer, two peers are asked at a time.

The engine session tests pass.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -10,6 +10,7 @@
 //! A contract replaces the one in force only when its version is greater, whoever offers it. A node
 //! that the source turns away hears the newest version as a rumour and asks a peer for it.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +44,11 @@
 /// Pause between two questions of a node whether there is a newer contract: two of them fit into the time in
 /// which a contract must be in force, and each is some sixty bytes.
 const CHECK_PAUSE: Duration = Duration::from_secs(1);
+/// Peers asked at the same time after the first one has not answered. With a third of the fleet
+/// unreachable, at least one of two peers usually answers.
+const PARALLEL_PULLS: usize = 2;
+/// Bounds the record of missing versions. Only the oldest one determines when peers are asked.
+const MISSING_VERSIONS_MAX: usize = 64;
 /// Which peer that is asked is the one that published the version. Many hear of it from gossip, so the
 /// nodes on the way down the tree and others go first.
 const ORIGIN_ASKED: u32 = 2;
@@ -79,12 +85,16 @@
 pub(crate) struct FleetState {
     /// The contract in force and its compiled form.
     pub(crate) known: Option<(Arc<FleetContract>, Arc<FleetTable>)>,
-    /// The newest version heard of, its publisher, and when it was heard.
-    head: Option<(u64, NodeId, Duration)>,
-    /// How many peers were asked for that version.
+    /// The newest version heard of, and the node that published or announced it.
+    head: Option<(u64, NodeId)>,
+    /// Versions newer than the one in force, each with the time when it was first heard of.
+    missing: BTreeMap<u64, Duration>,
+    /// Number of pull rounds since this node fell behind.
     asked: u32,
-    /// The newest version that another node told this one to take from it.
+    /// The newest version announced by a node of the same failure domain and requested from it.
     told: u64,
+    /// A node of another failure domain that announced a newer version and has not been asked yet.
+    other_domain_holder: Option<InstanceId>,
     /// When peers are next asked whether there is a newer one.
     next_check: Duration,
     /// Who follows the source.
@@ -105,8 +115,10 @@
         Self {
             known: None,
             head: None,
+            missing: BTreeMap::new(),
             asked: 0,
             told: 0,
+            other_domain_holder: None,
             next_check: Duration::ZERO,
             follow: FollowState::new(first_start, seed),
             draw: random.random(),
@@ -137,14 +149,48 @@
 
     /// Whether a newer version than the one in force was heard of so long ago.
     pub(crate) fn is_overdue(&self, now: Duration, patience: Duration) -> bool {
-        let newer = self.head.filter(|(version, ..)| *version > self.version());
-        newer.is_some_and(|(.., heard)| now >= heard + patience)
+        self.behind_since()
+            .is_some_and(|heard| now >= heard + patience)
     }
 
-    /// Time since this version was first heard of; none unless it is the newest version heard of.
+    /// When the oldest missing version was first heard of. Newer versions do not reset this time;
+    /// otherwise frequent changes would postpone the pull indefinitely.
+    fn behind_since(&self) -> Option<Duration> {
+        self.missing.values().min().copied()
+    }
+
+    /// Records a version that is newer than any known one. `holder` published or announced it.
+    fn record_head(&mut self, now: Duration, version: u64, holder: NodeId) {
+        let known = self.head.map_or(0, |(version, _)| version);
+        if version <= known.max(self.version()) {
+            return;
+        }
+        if self.missing.is_empty() {
+            self.asked = 0;
+        }
+        self.head = Some((version, holder));
+        if self.missing.len() < MISSING_VERSIONS_MAX {
+            self.missing.insert(version, now);
+        }
+    }
+
+    /// Forgets what is no longer missing once a version is in force.
+    fn forget_missing(&mut self, now: Duration) {
+        let version = self.version();
+        self.missing = self.missing.split_off(&(version + 1));
+        self.other_domain_holder = None;
+        // The head may lie beyond the recorded versions.
+        if let Some((head, _)) = self.head
+            && head > version
+        {
+            self.missing.entry(head).or_insert(now);
+        }
+    }
+
+    /// Time since this version was first heard of, or `None` if it was not recorded as missing.
     fn heard_ago(&self, now: Duration, version: u64) -> Option<Duration> {
-        let head = self.head.filter(|(newest, ..)| *newest == version);
-        head.map(|(.., heard)| now.saturating_sub(heard))
+        let heard = self.missing.get(&version)?;
+        Some(now.saturating_sub(*heard))
     }
 
     /// The version in force, 0 for none.
@@ -198,6 +244,7 @@
             from,
             heard_ago: self.fleet.heard_ago(now, version),
         }));
+        self.fleet.forget_missing(now);
         self.refresh_fleet_pools();
         self.refresh_quotas();
         out.push(NodeCommand::ContractsChanged);
@@ -254,14 +301,12 @@
 
     /// Somebody in the fleet has this version.
     pub(crate) fn on_fleet_head(&mut self, now: Duration, version: u64, origin: NodeId) {
-        let known = self.fleet.head.map_or(0, |(version, ..)| version);
-        if version > known.max(self.fleet.version()) {
-            self.fleet.head = Some((version, origin, now));
-            self.fleet.asked = 0;
-        }
+        self.fleet.record_head(now, version, origin);
     }
 
-    /// A node above this one in its failure domain has this version, and is asked for it.
+    /// Handles the announcement that another node has this version. A node of the same failure
+    /// domain is asked for it at once. A node of another domain is asked only if the version does
+    /// not arrive within this domain, because traffic between domains is billed.
     pub(crate) fn on_head_told(
         &mut self,
         now: Duration,
@@ -270,17 +315,31 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let own = self.fleet.version();
-        let known = self.fleet.head.map_or(0, |(version, ..)| version);
-        if version <= own || version < known || version == self.fleet.told {
+        if version <= own {
+            return;
+        }
+        let was_behind = self.fleet.behind_since().is_some();
+        self.fleet.record_head(now, version, from.node);
+        if !self.shares_domain(from) {
+            self.fleet.other_domain_holder = Some(from);
+            return;
+        }
+        if version <= self.fleet.told {
             return;
         }
         self.fleet.told = version;
-        self.on_fleet_head(now, version, from.node);
-        self.next_pull = now + PULL_PAUSE;
+        if !was_behind {
+            self.next_pull = now + PULL_PAUSE;
+        }
         let ask = ContractAsk::Fleet { newer_than: own };
         self.send_peer(from, PeerMessage::ContractPull { ask }, out);
     }
 
+    fn shares_domain(&self, instance: InstanceId) -> bool {
+        let member = self.roster.member(instance.node);
+        member.is_some_and(|member| member.facts.domain == self.own.domain)
+    }
+
     /// Asks a peer for the newest contract, when the source has not given it in time. A node that
     /// starts while the source is away asks whether or not it heard of a version.
     pub(crate) fn pull_fleet(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
@@ -288,31 +347,49 @@
             return;
         }
         let own = self.fleet.version();
-        let asked = match self.fleet.head {
-            Some((version, origin, heard)) if version > own => {
-                if now < heard + SOURCE_LEAD {
-                    return;
-                }
-                let asked = self.fleet.asked;
-                self.fleet.asked = asked.saturating_add(1);
-                match asked {
-                    ORIGIN_ASKED => Some(origin),
-                    asked if asked % 2 == 0 => self.domain_order().parent(),
-                    _ => None,
-                }
-            }
-            _ if own == 0 => None,
-            _ => {
-                self.check_for_newer(now, out);
-                return;
-            }
+        let peers = match self.fleet.behind_since() {
+            Some(heard) if now < heard + SOURCE_LEAD => return,
+            Some(_) => self.next_pull_peers(),
+            None if own == 0 => self.pull_source().into_iter().collect(),
+            None => return self.check_for_newer(now, out),
         };
-        let Some(peer) = self.pull_peer(asked) else {
+        if peers.is_empty() {
             return;
-        };
+        }
         self.next_pull = now + PULL_PAUSE;
-        let ask = ContractAsk::Fleet { newer_than: own };
-        self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
+        for peer in peers {
+            let ask = ContractAsk::Fleet { newer_than: own };
+            self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
+        }
+    }
+
+    /// Selects the peers to ask next for a missing version. The first round asks the node of another
+    /// domain that announced a version, or else the parent in this domain. Later rounds ask several
+    /// peers at a time, since those that have not answered may be unreachable.
+    fn next_pull_peers(&mut self) -> Vec<InstanceId> {
+        let asked = self.fleet.asked;
+        self.fleet.asked = asked.saturating_add(1);
+        if asked == 0 {
+            let other_domain_holder = self.fleet.other_domain_holder.take();
+            let parent = self.domain_order().parent();
+            let parent = parent.and_then(|node| self.instance_of(node));
+            let first = other_domain_holder
+                .or(parent)
+                .or_else(|| self.pull_source());
+            return first.into_iter().collect();
+        }
+        let origin = self.fleet.head.filter(|_| asked == ORIGIN_ASKED);
+        let origin = origin.and_then(|(_, node)| self.instance_of(node));
+        let other_domain_holder = self.fleet.other_domain_holder.take();
+        let others = (0..PARALLEL_PULLS).filter_map(|_| self.pull_source());
+        let mut peers: Vec<InstanceId> = other_domain_holder
+            .into_iter()
+            .chain(origin)
+            .chain(others)
+            .collect();
+        peers.dedup();
+        peers.truncate(PARALLEL_PULLS);
+        peers
     }
 
     /// Asks whether there is a newer contract, in case that nobody tells this node: the one above it in its
@@ -331,12 +408,6 @@
         }
     }
 
-    /// This peer if it is known, else another one at each try.
-    fn pull_peer(&mut self, peer: Option<NodeId>) -> Option<InstanceId> {
-        let known = peer.and_then(|node| self.instance_of(node));
-        known.or_else(|| self.pull_source())
-    }
-
     /// Answers a peer that asks for a newer contract, if this node has one.
     pub(crate) fn on_fleet_ask(
         &mut self,
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -32,6 +32,9 @@
 /// Nodes that one node tells of a contract and sends it to: 100 KB to each take a sixth of a second over
 /// a link of 20 Mbit/s.
 const CHILDREN: usize = 4;
+/// Nodes of other failure domains that a node tells of a contract. Each of these messages has some
+/// sixty bytes and does not carry the contract.
+const OTHER_DOMAIN_PEERS: usize = 2;
 /// How long the first nodes of a failure domain must be the same before a node trusts the membership to tell
 /// who follows: some rounds of gossip.
 const SETTLED_FOR: Duration = Duration::from_millis(300);
@@ -249,16 +252,34 @@
         DomainOrder::new(self.own.instance.node, near, domains.len())
     }
 
-    /// Tells the nodes below this one in its failure domain that it has a version.
+    /// Tells the children of this node in its failure domain, and some nodes of other domains, that
+    /// it has a version.
     pub(crate) fn tell_head(&mut self, version: u64, out: &mut Vec<NodeCommand>) {
         let children = self.domain_order().children().to_vec();
         let present = children.iter().filter_map(|node| self.instance_of(*node));
-        let present: Vec<InstanceId> = present.collect();
-        for child in present {
-            self.send_peer(child, PeerMessage::FleetHead { version }, out);
+        let mut told: Vec<InstanceId> = present.collect();
+        told.extend(self.other_domain_peers());
+        for node in told {
+            self.send_peer(node, PeerMessage::FleetHead { version }, out);
         }
     }
 
+    /// The next nodes of other failure domains after this one, in cyclic order of the node ids.
+    ///
+    /// Guards against delayed contracts while the followers of a domain, or the ancestors of a node
+    /// in its tree, are unreachable but not yet detected as dead. Ids are hashes, so the nodes that
+    /// precede a node in this order are spread randomly over the other domains.
+    fn other_domain_peers(&self) -> Vec<InstanceId> {
+        let own = self.own.instance.node;
+        let members = self.roster.members();
+        let after = members.partition_point(|member| member.facts.instance.node <= own);
+        let (before, next) = members.split_at(after);
+        let ring = next.iter().chain(before);
+        let others = ring.filter(|member| member.facts.domain != self.own.domain);
+        let instances = others.map(|member| member.facts.instance);
+        instances.take(OTHER_DOMAIN_PEERS).collect()
+    }
+
     /// What this node can say of a source without a contract: how long ago somebody reached it.
     pub(crate) fn source_seen_ago(&self, now: Duration) -> Option<Duration> {
         if self.fleet.follow.active && self.log_reachable {
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -2,6 +2,7 @@
 //! put together by chance, with what must hold checked after each step.
 
 mod audit;
+mod contract_spread;
 mod faults;
 mod fleet_form;
 mod found;
