Follow the source of contracts on nodes whose followers lose contact

After a confirmed change, callers got 404 on the added route for up to 6 s, at any node of the fleet (CONFIG).

Cause: nine nodes follow the source, and the others rely on them. All nine were refused or unreachable. A refused follower remains a follower, and one that is cut off remains one until it is detected as dead.

Ruled out: late gossip (no node had the version) and the store, which answered the other nodes.

Followers now send a message down the tree of their failure domain every 0.5 s, with the time since they last reached the source. A node that receives none for 1.1 s, plus 0.2 s for each further level, follows the source until the messages resume. During an outage of the source, only the first level below the followers tries, which bounds the load on it. Nodes of a fleet that starts for the first time wait 4 s for the membership to settle only once, not after each later change of the followers.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -25,6 +25,7 @@
 use sycamorelink_roster::{RosterEvent, topic};
 
 use crate::command::NodeCommand;
+use crate::contact::ContactState;
 use crate::contracts::{HEAD_KEY, leaning_of};
 use crate::event::CallerRequest;
 use crate::following::FollowState;
@@ -99,6 +100,8 @@
     next_check: Duration,
     /// Who follows the source.
     pub(crate) follow: FollowState,
+    /// Last known contact of this node's ancestors with the source.
+    pub(crate) contact: ContactState,
     /// Where the next draw for a split route stands, from 0 to 1.
     draw: f64,
     pub(crate) random: SmallRng,
@@ -121,6 +124,7 @@
             other_domain_holder: None,
             next_check: Duration::ZERO,
             follow: FollowState::new(first_start, seed),
+            contact: ContactState::default(),
             draw: random.random(),
             threshold: (WHOLE_REPEAT, Duration::ZERO),
             random,
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -67,6 +67,8 @@
     changed: Duration,
     /// How long they must be the same to be trusted.
     settled_for: Duration,
+    /// When they were first trusted.
+    pub(crate) first_settled: Option<Duration>,
     /// The order of this failure domain as last worked out.
     order: Option<DomainOrder>,
     /// Whether the membership changed since then.
@@ -97,6 +99,7 @@
             } else {
                 SETTLED_FOR
             },
+            first_settled: None,
             order: None,
             stale: true,
             seen: None,
@@ -164,6 +167,17 @@
         self.place < self.followers
     }
 
+    /// Depth of this node in the tree, 0 at a root.
+    pub(crate) fn depth(&self) -> u32 {
+        let mut place = self.place;
+        let mut depth = 0;
+        while let Some(below) = place.checked_sub(self.followers) {
+            place = below / CHILDREN;
+            depth += 1;
+        }
+        depth
+    }
+
     /// The nodes that this one tells of a contract.
     pub(crate) fn children(&self) -> &[NodeId] {
         let first = self.followers + self.place * CHILDREN;
@@ -216,10 +230,16 @@
             return true;
         }
         let follower = self.domain_order().is_follower();
+        let contact_lost = self.fleet.version() > 0 && self.is_contact_lost(now);
+        let joined = self.roster.is_joined();
         let follow = &mut self.fleet.follow;
-        let settled = now >= follow.changed + follow.settled_for && self.roster.is_joined();
+        let settled = now >= follow.changed + follow.settled_for && joined;
+        if settled && follow.first_settled.is_none() {
+            follow.first_settled = Some(now);
+            follow.settled_for = SETTLED_FOR;
+        }
         follow.early &= !settled;
-        follow.early || follower && (settled || follow.active)
+        follow.early || follower && (settled || follow.active) || contact_lost
     }
 
     /// The directory held so many entries when this node first read it. The first nodes of a fleet that
@@ -255,15 +275,20 @@
     /// Tells the children of this node in its failure domain, and some nodes of other domains, that
     /// it has a version.
     pub(crate) fn tell_head(&mut self, version: u64, out: &mut Vec<NodeCommand>) {
-        let children = self.domain_order().children().to_vec();
-        let present = children.iter().filter_map(|node| self.instance_of(*node));
-        let mut told: Vec<InstanceId> = present.collect();
+        let mut told = self.present_children();
         told.extend(self.other_domain_peers());
         for node in told {
             self.send_peer(node, PeerMessage::FleetHead { version }, out);
         }
     }
 
+    /// The children of this node in its failure domain that are present in the membership.
+    pub(crate) fn present_children(&mut self) -> Vec<InstanceId> {
+        let children = self.domain_order().children().to_vec();
+        let present = children.iter().filter_map(|node| self.instance_of(*node));
+        present.collect()
+    }
+
     /// The next nodes of other failure domains after this one, in cyclic order of the node ids.
     ///
     /// Guards against delayed contracts while the followers of a domain, or the ancestors of a node
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -21,6 +21,7 @@
 mod announcing;
 mod budgets;
 mod command;
+mod contact;
 mod contracts;
 mod crashing;
 mod dispatch;
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -309,6 +309,9 @@
             PeerMessage::FleetHead { version } => self.on_head_told(now, from, version, out),
             PeerMessage::RosterAsk { hashes } => self.on_roster_ask(from, &hashes, out),
             PeerMessage::RosterState { state } => self.on_roster_state(now, from, state, out),
+            PeerMessage::SourceContact { age, version } => {
+                self.on_source_contact(now, from, (age, version), out);
+            }
             PeerMessage::SourceSeen { age } => self.fleet.follow.source_seen(now, age),
             PeerMessage::Quota(message) => self.on_quota_message(now, from, message),
             PeerMessage::Leaving(message) => self.on_leaving_message(now, from, message, out),
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -100,6 +100,14 @@
         /// How long ago.
         age: Duration,
     },
+    /// The sender, or an ancestor in the tree of its failure domain, reached the source of the fleet
+    /// contract. Sent periodically to the children in that tree.
+    SourceContact {
+        /// How long ago.
+        age: Duration,
+        /// The version that the sender has.
+        version: u64,
+    },
     /// Asks for what the sender lacks of the membership.
     RosterAsk {
         /// Hashes of what it holds.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -406,6 +406,7 @@
             self.tick_meeting(now, out);
             self.tick_joining(now, out);
             self.choose_follower(now, out);
+            self.tick_contact(now, out);
             self.pull_fleet(now, out);
             self.tick_quotas(now, out);
         } else {
--- a/crates/engine/tests/session/contract_spread.rs
+++ b/crates/engine/tests/session/contract_spread.rs
@@ -26,12 +26,12 @@
     }
 }
 
-/// Delivers the newest contract from the source to its reachable followers.
-fn serve_source(world: &mut SessionWorld, isolated: &BTreeSet<String>, version: u64) {
+/// Delivers the newest contract from the source to its followers, except the unserved ones.
+fn serve_source(world: &mut SessionWorld, unserved: &BTreeSet<String>, version: u64) {
     let newest = Arc::new(contract(version, "/rates/"));
     for name in (0..FLEET_SIZE).map(name_of) {
         let behind = world.engines()[&node(&name)].fleet_version() < version;
-        let served = behind && world.followers.contains(&node(&name)) && !isolated.contains(&name);
+        let served = behind && world.followers.contains(&node(&name)) && !unserved.contains(&name);
         if served {
             world.tell(&name, NodeEvent::FleetContract(Arc::clone(&newest)));
         }
@@ -39,8 +39,12 @@
 }
 
 /// Publishes contracts at a fixed interval and returns a line for each check at which a reachable
-/// node did not yet apply a contract that was due.
-fn late_contracts(world: &mut SessionWorld, isolated: &BTreeSet<String>) -> Vec<String> {
+/// node did not yet apply a contract that was due. Unserved nodes receive none from the source.
+fn late_contracts(
+    world: &mut SessionWorld,
+    isolated: &BTreeSet<String>,
+    unserved: &BTreeSet<String>,
+) -> Vec<String> {
     let isolated_nodes: BTreeSet<NodeId> = isolated.iter().map(|name| node(name)).collect();
     let mut published: Vec<(Duration, u64)> = Vec::new();
     let mut late = Vec::new();
@@ -51,7 +55,7 @@
             published.push((world.now(), 10 + published.len() as u64));
         }
         let newest = published.last().map_or(0, |(_, version)| *version);
-        serve_source(world, isolated, newest);
+        serve_source(world, unserved, newest);
         world.run_for(CHECK_INTERVAL);
         let now = world.now();
         let overdue = published
@@ -84,7 +88,30 @@
             .collect();
         isolated.extend(["b", "f", "h", "l"].map(str::to_owned));
         isolate(&mut world, &isolated);
-        let late = late_contracts(&mut world, &isolated);
+        let late = late_contracts(&mut world, &isolated, &isolated);
+        assert!(late.is_empty(), "seed {seed}: {late:#?}");
+    }
+}
+
+// Guards against a fleet that receives no contract while every follower is refused or cut off.
+#[test]
+fn contracts_arrive_when_no_follower_reaches_the_source() {
+    for seed in 1..=4 {
+        let mut world = SessionWorld::start_fleet_in(3, FLEET_SIZE, contract(3, "/prices/"));
+        world.reseed(seed);
+        world.run_for(Duration::from_secs(4));
+        let names: Vec<String> = (0..FLEET_SIZE).map(name_of).collect();
+        let (followers, others): (Vec<String>, Vec<String>) = names
+            .into_iter()
+            .partition(|name| world.followers.contains(&node(name)));
+        let (cut_off, refused) = followers.split_at(followers.len() / 2);
+        for name in refused {
+            world.tell(name, NodeEvent::LogReachable(false));
+        }
+        let isolated: BTreeSet<String> = cut_off.iter().chain(&others[..3]).cloned().collect();
+        isolate(&mut world, &isolated);
+        let unserved = isolated.iter().chain(refused).cloned().collect();
+        let late = late_contracts(&mut world, &isolated, &unserved);
         assert!(late.is_empty(), "seed {seed}: {late:#?}");
     }
 }
