Count a repeat for a full window from the time it is made

Backend servers receive more repeats than the bound allows (BUDGET) when many requests fail at once.

Cause: withdrawals from a retry budget were summed by tenths of the window, and each tenth expired as a whole, so a repeat at the end of a second counted for little more than 9 s. Everything withdrawn at 0.9 s could be withdrawn again at 10.0 s: the new test finds 20 repeats in a window of 10 s, where 10 are allowed. In addition, a repeat that waits for a slot counted from its arrival at the node, not from when it was handed to its server.

Found by reading the code.

The budget now stores the time of each withdrawal and removes it once the window has passed. The window of a repeat that waited restarts when the repeat is handed to its server. A refund removes the oldest withdrawal.

Both new tests fail without the change (the second does not compile, since it calls the new method). The older tests pass unchanged; engine and limits tests are green.

--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -128,19 +128,27 @@
         }
     }
 
-    /// Counts the first arrival of a request at a backend server here.
+    /// Counts a request that is handed to a backend server of this node. A repeat was withdrawn on arrival;
+    /// its window restarts here, since it may have waited for a slot.
     pub(crate) fn count_arrival(&mut self, now: Duration, work: WorkId) {
         let Some(offer) = self.works.get(&work).map(|state| &state.offer) else {
             return;
         };
         let (slot, arrival, kind) = (offer.slot, offer.arrival, offer.kind);
-        if arrival == ArrivalKind::Repeat || !self.counts_repeats_beside() {
+        if !self.counts_repeats_beside() {
             return;
         }
         let calls = self.call_rates.makes_calls(kind);
         let Some(pots) = self.pots(now, slot) else {
             return;
         };
+        if arrival == ArrivalKind::Repeat {
+            pots.all.restart_withdrawal(now);
+            if calls {
+                pots.calling.restart_withdrawal(now);
+            }
+            return;
+        }
         pots.all.deposit(now);
         if calls {
             pots.calling.deposit(now);
--- a/crates/limits/src/retry_budget.rs
+++ b/crates/limits/src/retry_budget.rs
@@ -6,13 +6,14 @@
 //! customer and service; hedges have a budget of their own, so that hedges for slow replies cannot
 //! use up the retries for failed ones.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use sycamorelink_core::{DurationText, FindingList};
 
-/// Parts of the window that are forgotten one at a time.
+/// Parts of the window by which deposits are summed; each part expires as a whole.
 const WINDOW_PARTS: usize = 10;
 /// One token in the smallest unit.
 const TOKEN: u64 = 100_000;
@@ -101,8 +102,14 @@
     window: Duration,
     part_of_all: BudgetPart,
     deposits: [u64; WINDOW_PARTS],
-    withdrawals: [u64; WINDOW_PARTS],
+    /// Time of each withdrawal, oldest first.
+    ///
+    /// Not summed by parts of the window like deposits: a withdrawal would expire up to one part early, and
+    /// a window could hold nearly twice the budget.
+    withdrawals: VecDeque<Duration>,
     newest: u64,
+    /// Latest `now` of any call, so that a clock that steps back keeps `withdrawals` in order.
+    latest_now: Duration,
 }
 
 impl RetryBudget {
@@ -116,8 +123,9 @@
             window: settings.window,
             part_of_all: BudgetPart::default(),
             deposits: [0; WINDOW_PARTS],
-            withdrawals: [0; WINDOW_PARTS],
+            withdrawals: VecDeque::new(),
             newest: 0,
+            latest_now: Duration::ZERO,
         }
     }
 
@@ -134,25 +142,32 @@
 
     /// Takes one repeat out of the budget. False means that the repeat must not be sent.
     pub fn withdraw(&mut self, now: Duration) -> bool {
-        let slot = self.advance(now);
+        self.advance(now);
         if self.balance_units() / TOKEN == 0 {
             return false;
         }
-        self.withdrawals[slot] += TOKEN;
+        self.withdrawals.push_back(self.latest_now);
         true
     }
 
     /// Takes one repeat that is made whether or not one is left. What is owed is missing until the window
     /// has passed.
     pub fn charge(&mut self, now: Duration) {
-        let slot = self.advance(now);
-        self.withdrawals[slot] += TOKEN;
+        self.advance(now);
+        self.withdrawals.push_back(self.latest_now);
     }
 
-    /// Gives back a repeat that was taken and not made.
+    /// Gives back a repeat that was taken and not made. Removes the oldest withdrawal, so that no later one
+    /// expires early.
     pub fn refund(&mut self, now: Duration) {
-        let slot = self.advance(now);
-        self.withdrawals[slot] = self.withdrawals[slot].saturating_sub(TOKEN);
+        self.advance(now);
+        self.withdrawals.pop_front();
+    }
+
+    /// Restarts the window of a repeat that was taken earlier and is made now. Replaces the oldest withdrawal.
+    pub fn restart_withdrawal(&mut self, now: Duration) {
+        self.refund(now);
+        self.charge(now);
     }
 
     /// Whole repeats left.
@@ -164,15 +179,23 @@
     fn balance_units(&self) -> u64 {
         let minimum = self.minimum_per_second * TOKEN * self.window.as_secs().max(1);
         let deposits: u64 = self.deposits.iter().sum();
-        let withdrawals: u64 = self.withdrawals.iter().sum();
+        let withdrawals = TOKEN * self.withdrawals.len() as u64;
         let BudgetPart { slack, threshold } = self.part_of_all;
         let ahead = WHOLE_REPEAT.saturating_sub(threshold);
         let shared = (slack + ahead) * (TOKEN / WHOLE_REPEAT);
         (minimum + shared + deposits).saturating_sub(withdrawals)
     }
 
-    /// Forgets the parts that left the window and gives the slot of the newest part.
+    /// Removes expired withdrawals and deposits, and returns the slot of the newest part of the deposits.
     fn advance(&mut self, now: Duration) -> usize {
+        self.latest_now = self.latest_now.max(now);
+        let is_expired = |at: &Duration| *at + self.window <= self.latest_now;
+        let expired = self
+            .withdrawals
+            .iter()
+            .take_while(|at| is_expired(at))
+            .count();
+        self.withdrawals.drain(..expired);
         let parts = WINDOW_PARTS as u64;
         let number = u64::try_from(now.as_nanos() / self.part.as_nanos().max(1)).unwrap_or(0);
         let first = self.newest + 1;
@@ -180,7 +203,6 @@
         for number in first..first + passed {
             let slot = slot_of(number);
             self.deposits[slot] = 0;
-            self.withdrawals[slot] = 0;
         }
         self.newest = self.newest.max(number);
         slot_of(self.newest)
--- a/crates/limits/tests/retry_budget.rs
+++ b/crates/limits/tests/retry_budget.rs
@@ -103,3 +103,41 @@
     budget.deposit(at(300));
     assert!(budget.withdraw(at(400)));
 }
+
+// Guards against withdrawals late in a part of the window that expire early, so that one window allows twice
+// the budget.
+#[test]
+fn no_window_holds_more_repeats_than_the_budget() {
+    let mut budget = RetryBudget::new(&settings(0, 1));
+    let mut withdrawn = Vec::new();
+    for millis in (900..40_000).step_by(10) {
+        if budget.withdraw(at(millis)) {
+            withdrawn.push(millis);
+        }
+    }
+    let count_in_window = |start: u64| {
+        let window = start..start + 10_000;
+        withdrawn
+            .iter()
+            .filter(|millis| window.contains(millis))
+            .count()
+    };
+    let max_count = withdrawn
+        .iter()
+        .map(|millis| count_in_window(*millis))
+        .max();
+    assert_eq!(max_count, Some(10));
+}
+
+// Guards against repeats that wait for a slot and expire from the budget less than a window after their server
+// was handed them.
+#[test]
+fn a_repeat_counts_from_when_it_is_made() {
+    let mut budget = RetryBudget::new(&settings(0, 1));
+    while budget.withdraw(at(0)) {}
+    for _ in 0..10 {
+        budget.restart_withdrawal(at(3_000));
+    }
+    assert_eq!(budget.balance(at(12_900)), 0);
+    assert_eq!(budget.balance(at(13_000)), 10);
+}
