Preserve a backend server's part of the repeat bound across restarts

The bound is divided among the backend servers of a service, and the count of repeats handed to a server was stored with its life. Each new life therefore started with a full part.

The count now stays with the server's slot for as long as the slot runs the same service.

--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -44,6 +44,10 @@
                 && known.announced.slots == announced.slots
                 && known.announced.phase == announced.phase
         });
+        let repeats = known
+            .as_mut()
+            .filter(|known| known.announced.service == announced.service)
+            .and_then(|known| known.repeats.take());
         let kept = known.filter(|known| is_same_life(known, &announced));
         let new_gate = kept.is_none();
         // Failure: this node restarts after it acknowledged that its backend server leaves, hears
@@ -51,6 +55,8 @@
         // that have not heard; a leaving that is the first thing known of a life may be old news.
         let closes = if new_gate { now } else { now + CLOSE_GRACE };
         let mut upstream = kept.unwrap_or_else(|| self.new_upstream(now, &announced));
+        // Kept across restarts: a reset would refill the server's part of the bound on every crash.
+        upstream.repeats = repeats;
         upstream.closes = match announced.phase {
             UpstreamPhase::Leaving => upstream.closes.or(Some(closes)),
             UpstreamPhase::Starting | UpstreamPhase::Ready => None,
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -46,7 +46,7 @@
 }
 
 /// A contract under which the whole fleet may repeat this often in ten seconds.
-fn repeating(repeats: u32) -> FleetContract {
+pub fn repeating(repeats: u32) -> FleetContract {
     FleetContract {
         retry_budget: RetryBudget {
             share: 0.0,
@@ -58,7 +58,7 @@
 }
 
 /// Backend servers of these nodes answer all with an error from now on.
-fn fail_at(world: &mut SessionWorld, names: &[&str]) {
+pub fn fail_at(world: &mut SessionWorld, names: &[&str]) {
     for name in names {
         let script = BackendScript {
             status: 500,
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -8,5 +8,6 @@
 mod found;
 mod joining;
 mod leaving;
+mod repeat_bound;
 mod scenes;
 mod world;
--- /dev/null
+++ b/crates/engine/tests/session/repeat_bound.rs
@@ -0,0 +1,118 @@
+//! The fleet-wide bound on repeats while backend servers restart.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sycamorelink_core::{RequestId, ServiceName};
+use sycamorelink_engine::{LifeId, NodeEvent, UpstreamAnnouncement, UpstreamLife};
+use sycamorelink_policy::UpstreamPhase;
+
+use crate::fleet_form::{fail_at, repeating};
+use crate::world::{SessionWorld, name_of, node};
+
+/// Number of nodes, each with one backend server.
+const NODES: u8 = 8;
+/// Repeats allowed across the fleet per [`WINDOW`].
+const MAX_REPEATS: u32 = 16;
+/// Period over which repeats count towards the bound.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Interval between requests to the same node.
+const CALL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Starts a fleet whose bound on repeats does not grow with the number of requests.
+fn bounded_fleet() -> SessionWorld {
+    let mut world = SessionWorld::start_fleet(NODES, repeating(MAX_REPEATS));
+    world.run_for(WINDOW);
+    world
+}
+
+/// Makes every backend server answer with an error.
+fn fail_all_backends(world: &mut SessionWorld) {
+    let names: Vec<String> = (0..NODES).map(name_of).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    fail_at(world, &names);
+}
+
+/// Announces a new life of a node's backend server under a new name.
+fn restart_backend(world: &mut SessionWorld, name: &str, round: u32) {
+    let id = LifeId {
+        name: Arc::from(format!("{name}-{round}")),
+        started: None,
+    };
+    let announced = UpstreamAnnouncement {
+        slot: 0,
+        service: ServiceName::new("orders"),
+        slots: 5,
+        phase: UpstreamPhase::Ready,
+        life: Some(UpstreamLife { id, order: 1 }),
+        warm_up: None,
+    };
+    world.tell(name, NodeEvent::UpstreamAnnounced(announced));
+}
+
+/// Sends requests to the nodes and records when they are repeated.
+#[derive(Default)]
+struct CallLoad {
+    calls: u128,
+    last_runs: BTreeMap<RequestId, u32>,
+    repeat_times: Vec<Duration>,
+}
+
+impl CallLoad {
+    /// Sends requests to all running nodes for the given duration.
+    fn run(&mut self, world: &mut SessionWorld, duration: Duration) {
+        let end = world.now() + duration;
+        while world.now() < end {
+            for name in (0..NODES).map(name_of) {
+                if world.engines().contains_key(&node(&name)) {
+                    self.calls += 1;
+                    world.call(&name, self.calls, "GET", "/prices/a", None);
+                }
+            }
+            world.run_for(CALL_INTERVAL);
+            self.record_repeats(world);
+        }
+    }
+
+    fn record_repeats(&mut self, world: &SessionWorld) {
+        for (id, runs) in &world.runs {
+            let previous = self.last_runs.insert(*id, *runs).unwrap_or(1);
+            let new_repeats = runs.saturating_sub(previous.max(1));
+            self.repeat_times
+                .extend((0..new_repeats).map(|_| world.now()));
+        }
+    }
+
+    /// The largest number of repeats within any [`WINDOW`].
+    fn max_repeats_in_window(&self) -> usize {
+        let count_from = |start: Duration| {
+            let window = start..start + WINDOW;
+            self.repeat_times
+                .iter()
+                .filter(|at| window.contains(at))
+                .count()
+        };
+        let counts = self.repeat_times.iter().map(|start| count_from(*start));
+        counts.max().unwrap_or(0)
+    }
+}
+
+// Guards against a backend server's part of the bound being refilled on each restart.
+#[test]
+fn repeats_stay_bounded_while_backend_servers_restart() {
+    let mut world = bounded_fleet();
+    fail_all_backends(&mut world);
+    let mut load = CallLoad::default();
+    for round in 0..4 {
+        load.run(&mut world, Duration::from_secs(2));
+        for name in (0..NODES).map(name_of) {
+            restart_backend(&mut world, &name, round);
+        }
+    }
+    let repeats = load.max_repeats_in_window();
+    assert!(
+        repeats <= MAX_REPEATS as usize,
+        "{repeats} repeats, {MAX_REPEATS} allowed"
+    );
+}
