Withhold the repeat slack of a restarted daemon for one window

When daemons restart one after another or all at once while requests fail, backend servers receive more repeats than the bound allows (BUDGET).

Cause: a daemon keeps its count of repeats only in memory, so each restart began with a full part of the bound. The new test restarts eight daemons three times, two seconds apart: 20 repeats in a window of 10 s, with 16 allowed.

A daemon that starts in a running fleet now has no slack until one window has passed; until then, its repeats are limited to the share derived from its requests. A daemon of a fleet that starts for the first time has its part at once.

In `a_fleet_repeats_what_its_nodes_have_in_parts_of_one`, the fleet is now 12 s old instead of 8 s when requests arrive, which is past the window; its assertion is unchanged.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -64,10 +64,12 @@
 /// Step between two draws of one route, as a share of the whole. The golden ratio spreads any run
 /// of draws more evenly over the parts than chance would, whatever their weights.
 const DRAW_STEP: f64 = 0.618_033_988_749_894_9;
+/// Period over which repeats count towards the bound of the fleet.
+const REPEAT_WINDOW: Duration = Duration::from_secs(10);
 /// How long a node keeps what it drew as the threshold of its retry budgets: their window. Kept
 /// longer, a node that drew badly repeats nothing for a whole fault; drawn anew at each failure, every
 /// node would soon draw low.
-const THRESHOLD_TIME: Duration = Duration::from_secs(10);
+const THRESHOLD_TIME: Duration = REPEAT_WINDOW;
 
 /// Where the contracts of a fleet come from.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -279,8 +281,12 @@
     }
 
     /// The part of one of so many holders in what may be repeated besides the share.
+    ///
+    /// The slack is zero during the first window of a node that joins a running fleet. The node does
+    /// not know what it withdrew before a restart, so each restart would otherwise refill its part.
     pub(crate) fn slack_part(&mut self, now: Duration, holders: usize) -> BudgetPart {
-        let slack = self.fleet.known.as_ref();
+        let may_be_exhausted = !self.settings.first_start && now < REPEAT_WINDOW;
+        let slack = self.fleet.known.as_ref().filter(|_| !may_be_exhausted);
         let slack = slack.map_or(0, |(contract, _)| u64::from(contract.retry_slack));
         let holders = u64::try_from(holders).unwrap_or(u64::MAX);
         BudgetPart {
--- a/crates/engine/tests/session/fleet_form.rs
+++ b/crates/engine/tests/session/fleet_form.rs
@@ -171,6 +171,7 @@
     let nodes: Vec<String> = (0..12).map(name_of).collect();
     let names: Vec<&str> = nodes.iter().map(String::as_str).collect();
     let mut world = SessionWorld::start_fleet(12, repeating(6));
+    world.run_for(REST);
     fail_at(&mut world, &names);
     for (name, number) in names.iter().zip(1..) {
         world.call(name, number, "GET", "/prices/a", None);
--- a/crates/engine/tests/session/repeat_bound.rs
+++ b/crates/engine/tests/session/repeat_bound.rs
@@ -1,4 +1,4 @@
-//! The fleet-wide bound on repeats while backend servers restart.
+//! The fleet-wide bound on repeats while backend servers and daemons restart.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -116,3 +116,24 @@
         "{repeats} repeats, {MAX_REPEATS} allowed"
     );
 }
+
+// Guards against a daemon's part of the bound being refilled on each restart.
+#[test]
+fn repeats_stay_bounded_while_daemons_restart() {
+    let mut world = bounded_fleet();
+    fail_all_backends(&mut world);
+    let mut load = CallLoad::default();
+    for incarnation in 2..5 {
+        load.run(&mut world, Duration::from_secs(2));
+        for number in 0..NODES {
+            world.kill(&name_of(number));
+            world.add_node(number, incarnation);
+        }
+    }
+    load.run(&mut world, Duration::from_secs(2));
+    let repeats = load.max_repeats_in_window();
+    assert!(
+        repeats <= MAX_REPEATS as usize,
+        "{repeats} repeats, {MAX_REPEATS} allowed"
+    );
+}
