Divide the repeat bound by the recent maximum of known servers

Cause: a node divides the bound by the number of servers of the service that it knows at present. Each side of a partition considers the other dead after some seconds, its parts grow, and both sides together hold the bound twice. The new test partitions eight nodes into halves: 32 repeats in a window of 10 s, with 16 allowed.

A lower count now takes effect only once the higher one is five to ten minutes old. After instances are removed permanently, the slack is not used in full for that time; the share derived from requests is not affected. A node that starts inside a partition still divides by the servers of its side (open). The test now sees 16 repeats. Engine and limits tests are green.

--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -10,7 +10,8 @@
 use sycamorelink_guard::{GuardIdentity, GuardNode};
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
-    CrashRegistry, CustomerIndex, RetryBudget, ShareMember, ShareNode, SlotGate, WorkId,
+    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ShareMember, ShareNode, SlotGate,
+    WorkId,
 };
 use sycamorelink_policy::{CallRates, ServicePool, UpstreamBreaker};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
@@ -157,6 +158,9 @@
     pub(crate) last_request: Duration,
     /// Which work of the backend servers beside this node makes calls.
     pub(crate) call_rates: CallRates,
+    /// The number of servers among which the bound on repeats of each service is divided.
+    pub(crate) holder_counts: BTreeMap<ServiceName, HolderCount>,
+    pub(crate) next_holder_count: Duration,
     /// When a request without an account, which may be a call of the backend server beside this node, got a
     /// failure as its answer.
     pub(crate) call_failed: Option<Duration>,
@@ -243,6 +247,8 @@
             draining: None,
             last_request: Duration::ZERO,
             call_rates: CallRates::default(),
+            holder_counts: BTreeMap::new(),
+            next_holder_count: Duration::ZERO,
             call_failed: None,
             handover: HandoverState::default(),
             leaving_ticks: 0,
@@ -409,6 +415,7 @@
             self.tick_contact(now, out);
             self.pull_fleet(now, out);
             self.tick_quotas(now, out);
+            self.tick_holder_counts(now);
         } else {
             self.keep_contracts(now, out);
             self.pull_contracts(now, out);
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -11,11 +11,12 @@
 //! ten seconds, and most of it is never used where no request fails. Beside the backend servers are
 //! fewer and greater parts, each arrival is seen there whoever sent it, and no message more is needed.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
 use sycamorelink_core::ServiceName;
-use sycamorelink_limits::{BudgetPart, BudgetSettings, RetryBudget, WorkId};
+use sycamorelink_limits::{BudgetPart, BudgetSettings, HolderCount, RetryBudget, WorkId};
 use sycamorelink_policy::{OpenWork, PolicyMechanism};
 
 use crate::budgets::percent_of;
@@ -28,6 +29,12 @@
 /// fails is cheaper to repeat than the run that makes it.
 const CALLING_PERCENT: u32 = 75;
 
+/// Minimum time for which a server that is no longer known still counts as a holder of the bound, because
+/// the other side of a partition continues to use its parts. Longer than most partitions.
+const HOLDER_RETENTION: Duration = Duration::from_mins(5);
+/// Interval at which holders are counted when there are no requests.
+const HOLDER_COUNT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Repeats that a backend server may be handed.
 #[derive(Debug)]
 pub(crate) struct RepeatPots {
@@ -40,7 +47,7 @@
 /// A backend server's part of the bound on repeats when a repeat is decided on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RepeatBudgetView {
-    /// Servers of the service in this node's roster, among which the bound is divided.
+    /// Servers among which the bound is divided: the recent maximum in this node's roster.
     pub servers: usize,
     /// Whole repeats left at the server.
     pub left: u64,
@@ -103,7 +110,7 @@
         if offer.arrival != ArrivalKind::Repeat || !self.counts_repeats_beside() {
             return None;
         }
-        let servers = self.roster.upstreams(offer.service.as_str()).len();
+        let servers = self.count_holders(now, &offer.service);
         let left = self.pots(now, offer.slot)?.all.balance(now);
         Some(RepeatBudgetView { servers, left })
     }
@@ -213,7 +220,30 @@
     /// This server's part of the bound. What has to be left for a repeat is drawn anew from time to time,
     /// so that parts below one add up to the bound as well.
     fn part_of(&mut self, now: Duration, service: &ServiceName) -> BudgetPart {
-        let servers = self.roster.upstreams(service.as_str()).len();
+        let servers = self.count_holders(now, service);
         self.slack_part(now, servers)
     }
+
+    /// Updates and returns the number of servers among which the bound of a service is divided.
+    fn count_holders(&mut self, now: Duration, service: &ServiceName) -> usize {
+        let known = self.roster.upstreams(service.as_str()).len();
+        let entry = self.holder_counts.entry(service.clone());
+        let count = entry.or_insert_with(|| HolderCount::new(HOLDER_RETENTION));
+        count.observe(now, known)
+    }
+
+    /// Counts the holders for each service with a backend server at this node, so that the retained maximum
+    /// does not depend on requests.
+    pub(crate) fn tick_holder_counts(&mut self, now: Duration) {
+        if now < self.next_holder_count {
+            return;
+        }
+        self.next_holder_count = now + HOLDER_COUNT_INTERVAL;
+        let services = self.upstreams.values();
+        let services = services.map(|upstream| upstream.announced.service.clone());
+        let services: BTreeSet<ServiceName> = services.collect();
+        for service in services {
+            self.count_holders(now, &service);
+        }
+    }
 }
--- a/crates/engine/tests/session/repeat_bound.rs
+++ b/crates/engine/tests/session/repeat_bound.rs
@@ -1,15 +1,15 @@
-//! The fleet-wide bound on repeats while backend servers and daemons restart.
+//! The fleet-wide bound on repeats while servers and daemons restart or are partitioned.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::{RequestId, ServiceName};
-use sycamorelink_engine::{LifeId, NodeEvent, UpstreamAnnouncement, UpstreamLife};
+use sycamorelink_engine::{LifeId, NodeEvent, UpstreamAnnouncement, UpstreamLife, WorkEnd};
 use sycamorelink_policy::UpstreamPhase;
 
 use crate::fleet_form::{fail_at, repeating};
-use crate::world::{SessionWorld, name_of, node};
+use crate::world::{BackendScript, SessionWorld, name_of, node};
 
 /// Number of nodes, each with one backend server.
 const NODES: u8 = 8;
@@ -34,6 +34,17 @@
     fail_at(world, &names);
 }
 
+/// Makes every backend server decline its work.
+fn decline_on_all_backends(world: &mut SessionWorld) {
+    for name in (0..NODES).map(name_of) {
+        let script = BackendScript {
+            end: WorkEnd::Declined,
+            ..BackendScript::default()
+        };
+        world.scripts.insert(node(&name), script);
+    }
+}
+
 /// Announces a new life of a node's backend server under a new name.
 fn restart_backend(world: &mut SessionWorld, name: &str, round: u32) {
     let id = LifeId {
@@ -137,3 +148,24 @@
         "{repeats} repeats, {MAX_REPEATS} allowed"
     );
 }
+
+// Guards against each side of a partition dividing the bound among only its own servers.
+#[test]
+fn repeats_stay_bounded_in_a_partitioned_fleet() {
+    let mut world = bounded_fleet();
+    for from in 0..NODES {
+        for to in (0..NODES).filter(|to| to % 2 != from % 2) {
+            let link = (node(&name_of(from)), node(&name_of(to)));
+            world.wire.cuts.insert(link);
+        }
+    }
+    world.run_for(Duration::from_secs(30));
+    decline_on_all_backends(&mut world);
+    let mut load = CallLoad::default();
+    load.run(&mut world, Duration::from_secs(5));
+    let repeats = load.max_repeats_in_window();
+    assert!(
+        repeats <= MAX_REPEATS as usize,
+        "{repeats} repeats, {MAX_REPEATS} allowed"
+    );
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admission;
 pub mod crash;
+pub mod holder_count;
 pub mod quota;
 pub mod retry_budget;
 pub mod share;
@@ -23,6 +24,7 @@
     CrashCheck, CrashCommand, CrashEvent, CrashEvidence, CrashMessage, CrashRegistry,
     CrashSettings, CrashSignature, CrashVictim,
 };
+pub use holder_count::HolderCount;
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareNews,
     UseReport,
