Limit takeover during a store outage to one child per root

Cause: when a root still sent messages but did not reach the source, each of its children took over. Now only the first child does. When nothing at all arrives from the root, all of them take over, as before.

--- a/crates/engine/src/contact.rs
+++ b/crates/engine/src/contact.rs
@@ -15,6 +15,7 @@
 use sycamorelink_core::InstanceId;
 
 use crate::command::NodeCommand;
+use crate::following::TreePosition;
 use crate::message::PeerMessage;
 use crate::node::NodeEngine;
 
@@ -27,9 +28,6 @@
 /// Added to the timeout for each further level of the tree, so that a node does not follow the
 /// source when its parent takes over.
 const TIMEOUT_PER_LEVEL: Duration = Duration::from_millis(200);
-/// Depth up to which nodes follow the source when their ancestors still send messages but no longer
-/// reach it. Limits the load on the source during an outage.
-const OUTAGE_TAKEOVER_DEPTH: u32 = 1;
 
 /// The last known contact of this node's ancestors with the source.
 #[derive(Debug, Default)]
@@ -43,13 +41,13 @@
 }
 
 impl ContactState {
-    /// Whether a node at this depth of the tree has to follow the source itself. Messages are
+    /// Whether a node at this position in the tree has to follow the source itself. Messages are
     /// expected only once the tree has settled.
-    fn is_lost(&self, now: Duration, depth: u32, settled_at: Duration) -> bool {
-        let timeout = CONTACT_TIMEOUT + TIMEOUT_PER_LEVEL * depth.saturating_sub(1);
+    fn is_lost(&self, now: Duration, position: TreePosition, settled_at: Duration) -> bool {
+        let timeout = CONTACT_TIMEOUT + TIMEOUT_PER_LEVEL * position.depth.saturating_sub(1);
         let silent = now >= self.last_received.max(settled_at) + timeout;
         let unreached = now >= self.source_reached.max(settled_at) + timeout;
-        silent || unreached && depth <= OUTAGE_TAKEOVER_DEPTH
+        silent || unreached && position.takes_over_in_outage
     }
 }
 
@@ -59,8 +57,8 @@
         let Some(settled_at) = self.fleet.follow.first_settled else {
             return false;
         };
-        let depth = self.domain_order().depth();
-        self.fleet.contact.is_lost(now, depth, settled_at)
+        let position = self.domain_order().tree_position();
+        self.fleet.contact.is_lost(now, position, settled_at)
     }
 
     /// Sends contact messages at a fixed interval while this node follows the source.
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -142,6 +142,17 @@
     place: usize,
 }
 
+/// Position of a node in the tree of its failure domain.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TreePosition {
+    /// Depth in the tree, 0 at a root.
+    pub(crate) depth: u32,
+    /// Whether the node follows the source when its ancestors still send messages but no longer
+    /// reach it. Limited to the roots and the first child of each, two nodes per root, to bound the
+    /// load on the source during an outage.
+    pub(crate) takes_over_in_outage: bool,
+}
+
 impl DomainOrder {
     /// The order of these nodes and of this one, in a fleet of so many failure domains.
     pub(crate) fn new(own: NodeId, others: BTreeSet<NodeId>, domains: usize) -> Self {
@@ -167,15 +178,20 @@
         self.place < self.followers
     }
 
-    /// Depth of this node in the tree, 0 at a root.
-    pub(crate) fn depth(&self) -> u32 {
+    /// Position of this node in the tree.
+    pub(crate) fn tree_position(&self) -> TreePosition {
         let mut place = self.place;
         let mut depth = 0;
         while let Some(below) = place.checked_sub(self.followers) {
             place = below / CHILDREN;
             depth += 1;
         }
-        depth
+        let below = self.place.checked_sub(self.followers);
+        let is_first_child = below.is_some_and(|below| below % CHILDREN == 0);
+        TreePosition {
+            depth,
+            takes_over_in_outage: depth == 0 || depth == 1 && is_first_child,
+        }
     }
 
     /// The nodes that this one tells of a contract.
