Wait longer before asking other peers while a contract is being transferred

Cause: a node that its parent told of a version asked the parent at once, and other peers 0.2 to 0.4 s later, although the transfer was only slow. Each copy crossed failure domains and filled links of 13 Mbit/s: 0.342 GB between domains instead of 0.160.

Once a node of the same domain announced the oldest missing version and was asked for it, other peers are asked after 0.8 s. Engine tests are green.

--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -38,6 +38,9 @@
 /// How long a rumour of a newer version may be ahead of the source before a peer is asked: a
 /// source in health answers its waiting readers within some ten milliseconds.
 const SOURCE_LEAD: Duration = Duration::from_millis(200);
+/// The same after a node of the same failure domain announced the version and was asked for it. Large contracts
+/// that follow each other closely take longer than a pause; asked for elsewhere too, they fill the links.
+const TRANSFER_LEAD: Duration = Duration::from_millis(800);
 /// Pause before another peer is asked: over a link of 10 Mbit/s a contract of 100 KB takes a fifth of it, and
 /// a few others are sent it as well. Asked for sooner, it comes twice, and the links of those that have it
 /// are full.
@@ -165,6 +168,15 @@
         self.missing.values().min().copied()
     }
 
+    /// How long the oldest missing version may take before other peers are asked for it.
+    fn pull_lead(&self) -> Duration {
+        let oldest = self.missing.keys().next();
+        match oldest {
+            Some(oldest) if *oldest <= self.told => TRANSFER_LEAD,
+            _ => SOURCE_LEAD,
+        }
+    }
+
     /// Records a version that is newer than any known one. `holder` published or announced it.
     fn record_head(&mut self, now: Duration, version: u64, holder: NodeId) {
         let known = self.head.map_or(0, |(version, _)| version);
@@ -358,7 +370,7 @@
         }
         let own = self.fleet.version();
         let peers = match self.fleet.behind_since() {
-            Some(heard) if now < heard + SOURCE_LEAD => return,
+            Some(heard) if now < heard + self.fleet.pull_lead() => return,
             Some(_) => self.next_pull_peers(),
             None if own == 0 => self.pull_source().into_iter().collect(),
             None => return self.check_for_newer(now, out),
