Report the size of each contract sent to a peer, and slow decisions

Neither logs nor metrics told how large the contracts on their way were, who sent them to whom, how many were of use, or whether the decision thread was busy with them.

SL5014 and SL5015 report each contract sent and received with its size, and whether it was applied. control_bytes_sent and control_bytes_received count the kind contract. SL1021 reports an input that took the decision thread 50 ms or more. No decision changes.

--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -14,11 +14,13 @@
 use std::time::Duration;
 
 use sycamorelink_core::{NodeClock, RequestId};
-use sycamorelink_engine::{LogStream, NodeCommand, NodeEngine, NodeEvent, WorkEnd, WorkOffer};
+use sycamorelink_engine::{
+    LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, WorkEnd, WorkOffer,
+};
 use sycamorelink_limits::admission::WorkId;
 use sycamorelink_roster::RosterMessage;
 use sycamorelink_telemetry::metric::MetricCounter;
-use sycamorelink_telemetry::{MetricName, MetricTags};
+use sycamorelink_telemetry::{EventCode, EventFields, MetricName, MetricTags};
 use sycamorelink_wire::{FleetKeys, encode_datagram};
 use tokio::sync::mpsc;
 
@@ -33,6 +35,9 @@
 
 /// Inputs handled between two checks of the engine's timers.
 const MAX_BATCH: usize = 64;
+/// Duration of one input above which it is reported: half of the longest pause of a process that
+/// has used up its CPU quota.
+const DELAY_THRESHOLD: Duration = Duration::from_millis(50);
 /// Longest wait for an input.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
@@ -161,13 +166,25 @@
     }
 
     fn handle_event(&mut self, event: NodeEvent) {
+        let started_at = self.clock.now();
+        let kind = event_kind(&event);
+        self.apply_event(started_at, event);
+        let took = self.clock.now().saturating_sub(started_at);
+        if took >= DELAY_THRESHOLD {
+            let duration = format!("{}ms", took.as_millis());
+            let fields = EventFields::new().reason(&kind).duration(&duration);
+            let events = &self.outputs.telemetry.events;
+            events.emit(EventCode::DecisionDelayed, &fields);
+        }
+    }
+
+    fn apply_event(&mut self, now: Duration, event: NodeEvent) {
         let ended = match &event {
             NodeEvent::WorkEnded(report) if report.end == WorkEnd::Crashed => None,
             NodeEvent::WorkEnded(report) => Some(report.work),
             NodeEvent::WorkCancelled { work } => Some(*work),
             _ => None,
         };
-        let now = self.clock.now();
         let mut commands = std::mem::take(&mut self.commands);
         self.engine.handle(now, event, &mut commands);
         for command in commands.drain(..) {
@@ -302,3 +319,20 @@
         }
     }
 }
+
+/// Returns the kind of an event, for the report of a slow one.
+const fn event_kind(event: &NodeEvent) -> &'static str {
+    match event {
+        NodeEvent::Tick => "tick",
+        NodeEvent::RequestArrived(_) | NodeEvent::BodyRead { .. } => "request",
+        NodeEvent::WorkOffered(_) | NodeEvent::WorkEnded(_) => "work",
+        NodeEvent::FleetContract(_)
+        | NodeEvent::PeerReceived {
+            message: PeerMessage::ContractPage { .. } | PeerMessage::ContractPull { .. },
+            ..
+        } => "contract",
+        NodeEvent::PeerReceived { .. } => "peer message",
+        NodeEvent::DatagramReceived { .. } => "gossip",
+        _ => "other",
+    }
+}
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -96,6 +96,8 @@
             | NodeNote::Superseded(_) => self.record_member_change(now, note),
             NodeNote::ContractAccepted { .. }
             | NodeNote::FleetContractAdopted { .. }
+            | NodeNote::FleetContractSent { .. }
+            | NodeNote::FleetContractReceived { .. }
             | NodeNote::SourceFollowed { .. }
             | NodeNote::ContractRejected { .. }
             | NodeNote::PoisonRecord { .. }
@@ -250,6 +252,29 @@
                 }
                 self.emit(EventCode::ContractInForce, &fields);
             }
+            NodeNote::FleetContractSent {
+                to,
+                version,
+                newer_than,
+                bytes,
+            } => {
+                self.count_contract_bytes(MetricName::ControlBytesSent, *bytes);
+                let fields = EventFields::new().peer(to).version(version);
+                let fields = fields.offset(newer_than).count(bytes);
+                self.emit(EventCode::ContractSent, &fields);
+            }
+            NodeNote::FleetContractReceived {
+                from,
+                before,
+                bytes,
+                applied,
+            } => {
+                self.count_contract_bytes(MetricName::ControlBytesReceived, *bytes);
+                let reason = if *applied { "applied" } else { "not newer" };
+                let fields = EventFields::new().peer(from).version(before);
+                let fields = fields.count(bytes).reason(&reason);
+                self.emit(EventCode::ContractReceived, &fields);
+            }
             NodeNote::SourceFollowed {
                 follow,
                 version,
@@ -283,6 +308,11 @@
         }
     }
 
+    fn count_contract_bytes(&mut self, name: MetricName, bytes: usize) {
+        let key = SeriesKey::of(name).detail("contract");
+        self.metrics.add(key, bytes as u64);
+    }
+
     /// Reports each log head only once, because missing contracts are requested twice a second.
     fn record_lag(&mut self, offset: u64, head: u64) {
         self.metrics.set(
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -459,6 +459,12 @@
         }
         match serde_json::to_vec(contract.as_ref()) {
             Ok(page) => {
+                out.push(NodeCommand::Note(NodeNote::FleetContractSent {
+                    to: from,
+                    version: contract.version,
+                    newer_than,
+                    bytes: page.len(),
+                }));
                 let ask = ContractAsk::Fleet { newer_than };
                 self.send_peer(from, PeerMessage::ContractPage { ask, page }, out);
             }
@@ -476,8 +482,17 @@
         page: &[u8],
         out: &mut Vec<NodeCommand>,
     ) {
+        let before = self.fleet.version();
         match serde_json::from_slice::<FleetContract>(page) {
-            Ok(contract) => self.apply_contract(now, Arc::new(contract), Some(from), out),
+            Ok(contract) => {
+                self.apply_contract(now, Arc::new(contract), Some(from), out);
+                out.push(NodeCommand::Note(NodeNote::FleetContractReceived {
+                    from,
+                    before,
+                    bytes: page.len(),
+                    applied: self.fleet.version() > before,
+                }));
+            }
             Err(error) => out.push(NodeCommand::Note(NodeNote::ContractRejected {
                 offset: self.fleet.version(),
                 reason: format!("a contract from {from} cannot be read: {error}"),
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -214,6 +214,28 @@
         /// version.
         known_for: Option<Duration>,
     },
+    /// The fleet contract was sent to a peer.
+    FleetContractSent {
+        /// Receiver of the contract.
+        to: InstanceId,
+        /// Version that was sent.
+        version: u64,
+        /// Version that the receiver had; 0 for none.
+        newer_than: u64,
+        /// Size of the encoded contract.
+        bytes: usize,
+    },
+    /// A peer sent a fleet contract.
+    FleetContractReceived {
+        /// Sender of the contract.
+        from: InstanceId,
+        /// Version in force when it arrived; 0 for none.
+        before: u64,
+        /// Size of the encoded contract.
+        bytes: usize,
+        /// Whether it was put into force.
+        applied: bool,
+    },
     /// This node started or stopped following the source of fleet contracts.
     SourceFollowed {
         /// Whether it now follows the source.
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -113,6 +113,7 @@
     1018 DaemonSuperseded Error "daemon-superseded" "a newer life of this daemon runs elsewhere and this one stops";
     1019 SettingsReloaded Info "settings-reloaded" "the settings were read again";
     1020 SettingsRejected Warn "settings-rejected" "changed settings have findings and those in force stay";
+    1021 DecisionDelayed Warn "decision-delayed" "the decision thread took long for one input and others waited";
 
     2001 RequestServed Debug "request-served" "a request got its reply";
     2002 RequestRefused Debug "request-refused" "a request was refused";
@@ -181,6 +182,8 @@
     5011 CarryOverdue Error "carry-overdue" "contracts are close to the end of their retention and not yet carried forward";
     5012 ContractMissing Error "contract-missing" "this daemon has no contracts and refuses requests";
     5013 SourceFollowed Info "source-followed" "this daemon started or stopped following the source of contracts";
+    5014 ContractSent Debug "contract-sent" "a contract was sent to a peer";
+    5015 ContractReceived Debug "contract-received" "a peer sent a contract";
 
     6001 MemberUp Info "member-up" "a daemon joined the roster";
     6002 MemberDown Warn "member-down" "a daemon is down for the roster";
--- a/crates/telemetry/src/event/entries/contract.rs
+++ b/crates/telemetry/src/event/entries/contract.rs
@@ -102,4 +102,21 @@
         action: "Nothing. When contracts arrive late, check which daemons followed the source at that \
                 time and whether they logged `SL7001`.",
     },
+    EventEntry {
+        code: EventCode::ContractSent,
+        reserved: false,
+        meaning: "A peer asked for a contract newer than its own and got one. `peer` is the receiver, \
+                `version` the version sent, `offset` the version that the peer has and `count` the \
+                size in bytes.",
+        action: "Nothing. When contracts arrive late, add up `count` for each sender: its link may be \
+                the bottleneck.",
+    },
+    EventEntry {
+        code: EventCode::ContractReceived,
+        reserved: false,
+        meaning: "`peer` is the sender, `version` the version in force before, `count` the size \
+                in bytes and `reason` says whether the contract was applied.",
+        action: "Nothing. Many contracts that are not applied show that the same version was requested \
+                from several peers.",
+    },
 ];
--- a/crates/telemetry/src/event/entries/lifecycle.rs
+++ b/crates/telemetry/src/event/entries/lifecycle.rs
@@ -158,4 +158,12 @@
         action: "Correct the file and send SIGHUP; `sycamorelink settings check` names all \
                 findings.",
     },
+    EventEntry {
+        code: EventCode::DecisionDelayed,
+        reserved: false,
+        meaning: "The decision thread handled one input for `duration`; `reason` is the kind of input. \
+                Requests, work and messages waited meanwhile.",
+        action: "When it repeats, look at the processor use of the instance, and for `contract` at \
+                the size of the contract.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -161,9 +161,9 @@
     Members Gauge "members" "daemons" ["state"]
         "Daemons in the roster, by state: up, leaving or down. Read every half minute.";
     ControlBytesSent Counter "control_bytes_sent" "bytes" ["kind"]
-        "Control traffic sent to peers, by kind: only gossip is counted. The budget is 7 KB/s.";
+        "Control traffic sent to peers, by kind: gossip, with a budget of 7 KB/s, or contract.";
     ControlBytesReceived Counter "control_bytes_received" "bytes" ["kind"]
-        "Control traffic received from peers, by kind: only gossip is counted.";
+        "Control traffic received from peers, by kind: gossip or contract.";
     PeersConnected Gauge "peers_connected" "connections" []
         "Open connections to other daemons.";
     CallersConnected Gauge "callers_connected" "connections" []
