--- a/crates/engine/tests/session/contract_spread.rs
+++ b/crates/engine/tests/session/contract_spread.rs
@@ -1,9 +1,10 @@
 //! Frequent contract changes while part of the fleet is unreachable.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use sycamorelink_contract::{ContentDigest, FleetContract, FleetRoute};
 use sycamorelink_core::NodeId;
 use sycamorelink_engine::NodeEvent;
 
@@ -15,6 +16,10 @@
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(900);
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Version of the first contract that a test publishes.
+const FIRST_PUBLISHED: u64 = 10;
+/// Bandwidth of the slowest links of a fleet, in bytes per second.
+const THIN_LINK: u32 = 13_000_000 / 8;
 
 /// Cuts the links between these nodes and all others, in both directions.
 fn isolate(world: &mut SessionWorld, isolated: &BTreeSet<String>) {
@@ -26,14 +31,39 @@
     }
 }
 
-/// Delivers the newest contract from the source to its followers, except the unserved ones.
-fn deliver_from_source(world: &mut SessionWorld, unserved: &BTreeSet<String>, version: u64) {
-    let newest = Arc::new(contract(version, "/rates/"));
+/// Returns a contract with this many routes added.
+fn contract_with_routes(version: u64, count: usize) -> FleetContract {
+    let mut contract = contract(version, "/rates/");
+    let template = contract.routes[0].clone();
+    let added = (0..count).map(|number| {
+        let text = ContentDigest::of(&number.to_be_bytes()).to_string();
+        FleetRoute {
+            name: Arc::from(&text[..8]),
+            host: Arc::from(format!("host-{}.example", number % 50)),
+            prefix: Arc::from(format!("/{}/", &text[8..16])),
+            ..template.clone()
+        }
+    });
+    contract.routes.extend(added);
+    contract
+}
+
+/// Delivers the newest contract from the source to its followers that have not read it yet, except
+/// the unserved ones.
+fn deliver_from_source(
+    world: &mut SessionWorld,
+    unserved: &BTreeSet<String>,
+    newest: &Arc<FleetContract>,
+    read: &mut BTreeMap<NodeId, u64>,
+) {
     for name in (0..FLEET_SIZE).map(name_of) {
-        let behind = world.engines()[&node(&name)].fleet_version() < version;
-        let served = behind && world.followers.contains(&node(&name)) && !unserved.contains(&name);
-        if served {
-            world.send_event(&name, NodeEvent::FleetContract(Arc::clone(&newest)));
+        let id = node(&name);
+        let behind = world.engines()[&id].fleet_version() < newest.version;
+        let is_read = read.get(&id) == Some(&newest.version);
+        let served = behind && world.followers.contains(&id) && !unserved.contains(&name);
+        if served && !is_read {
+            read.insert(id, newest.version);
+            world.read_from_source(id, newest);
         }
     }
 }
@@ -45,17 +75,35 @@
     isolated: &BTreeSet<String>,
     unserved: &BTreeSet<String>,
 ) -> Vec<String> {
+    late_versions(world, isolated, unserved, |version| {
+        contract(version, "/rates/")
+    })
+}
+
+/// Does the same with the contracts that `create` returns for each version.
+fn late_versions<F>(
+    world: &mut SessionWorld,
+    isolated: &BTreeSet<String>,
+    unserved: &BTreeSet<String>,
+    create: F,
+) -> Vec<String>
+where
+    F: Fn(u64) -> FleetContract,
+{
     let isolated_nodes: BTreeSet<NodeId> = isolated.iter().map(|name| node(name)).collect();
     let mut published: Vec<(Duration, u64)> = Vec::new();
     let mut late = Vec::new();
+    let mut read = BTreeMap::new();
+    let mut newest = Arc::new(create(FIRST_PUBLISHED));
     let start = world.now();
     while world.now() < start + PUBLISH_INTERVAL * 7 {
         let due = PUBLISH_INTERVAL * u32::try_from(published.len()).unwrap_or(u32::MAX);
         if world.now() >= start + due {
-            published.push((world.now(), 10 + published.len() as u64));
+            let version = FIRST_PUBLISHED + published.len() as u64;
+            published.push((world.now(), version));
+            newest = Arc::new(create(version));
         }
-        let newest = published.last().map_or(0, |(_, version)| *version);
-        deliver_from_source(world, unserved, newest);
+        deliver_from_source(world, unserved, &newest, &mut read);
         world.run_for(CHECK_INTERVAL);
         let now = world.now();
         let overdue = published
@@ -115,3 +163,18 @@
         assert!(late.is_empty(), "seed {seed}: {late:#?}");
     }
 }
+
+// Guards against contracts that are late because the links of the nodes are busy with whole copies
+// of large ones.
+#[test]
+fn large_contracts_arrive_in_time_over_thin_links() {
+    let mut world = SessionWorld::start_fleet_in(3, FLEET_SIZE, contract_with_routes(3, 4_000));
+    world.run_for(Duration::from_secs(4));
+    world.network.link_rate = Some(THIN_LINK);
+    let nowhere = BTreeSet::new();
+    let late = late_versions(&mut world, &nowhere, &nowhere, |version| {
+        let changes = usize::try_from(version - FIRST_PUBLISHED).unwrap_or(0);
+        contract_with_routes(version, 4_000 + 700 * (1 + changes / 2))
+    });
+    assert!(late.is_empty(), "{late:#?}");
+}
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -97,6 +97,8 @@
     pub gossip_lost: bool,
     /// Percentage of appends that are repeated because their reply was lost.
     pub duplicated_appends: u32,
+    /// Bandwidth of each node's own link in bytes per second and direction; `None` for no limit.
+    pub link_rate: Option<u32>,
 }
 
 /// Simulated nodes with their network, log and backend servers.
@@ -117,6 +119,10 @@
     pub runs: BTreeMap<RequestId, u32>,
     /// Injected faults.
     pub network: NetworkFaults,
+    /// Time until which messages occupy the link of each node that sends them.
+    uplinks_busy_until: BTreeMap<NodeId, Duration>,
+    /// The same for the link of each node that receives them.
+    downlinks_busy_until: BTreeMap<NodeId, Duration>,
     /// Number of contract requests that each node received.
     pub pulls: BTreeMap<NodeId, u32>,
     /// Nodes that follow the source of the fleet contract.
@@ -217,6 +223,8 @@
             scripts: BTreeMap::new(),
             runs: BTreeMap::new(),
             network: NetworkFaults::default(),
+            uplinks_busy_until: BTreeMap::new(),
+            downlinks_busy_until: BTreeMap::new(),
             pulls: BTreeMap::new(),
             followers: BTreeSet::new(),
             domains,
@@ -519,6 +527,7 @@
                 else {
                     return;
                 };
+                let delay = delay + self.transfer_time(id, to.node, &message);
                 let event = NodeEvent::PeerReceived {
                     from: self.engines[&id].own_instance(),
                     message,
--- a/crates/engine/tests/session/world/work.rs
+++ b/crates/engine/tests/session/world/work.rs
@@ -29,6 +29,39 @@
         Some(LINK_DELAY + Duration::from_millis(extra))
     }
 
+    /// Returns the time until a message has passed the links of both nodes, behind the messages
+    /// sent before it.
+    pub(super) fn transfer_time(
+        &mut self,
+        from: NodeId,
+        to: NodeId,
+        message: &PeerMessage,
+    ) -> Duration {
+        let Some(rate) = self.network.link_rate else {
+            return Duration::ZERO;
+        };
+        let encoded = bincode::serde::encode_to_vec(message, bincode::config::standard());
+        let duration = passing_time(encoded.map_or(0, |bytes| bytes.len()), rate);
+        let uplink = self.uplinks_busy_until.entry(from).or_default();
+        *uplink = self.now.max(*uplink) + duration;
+        let downlink = self.downlinks_busy_until.entry(to).or_default();
+        *downlink = (*uplink).max(*downlink + duration);
+        downlink.saturating_sub(self.now)
+    }
+
+    /// Sends a contract from the source to a node, whose link it occupies as JSON.
+    pub fn read_from_source(&mut self, to: NodeId, contract: &Arc<FleetContract>) {
+        let mut delay = LINK_DELAY;
+        if let Some(rate) = self.network.link_rate {
+            let bytes = serde_json::to_vec(contract.as_ref()).map_or(0, |json| json.len());
+            let downlink = self.downlinks_busy_until.entry(to).or_default();
+            *downlink = self.now.max(*downlink) + passing_time(bytes, rate);
+            delay += downlink.saturating_sub(self.now);
+        }
+        let event = NodeEvent::FleetContract(Arc::clone(contract));
+        self.schedule(delay, QueuedItem::Event(to, Box::new(event)));
+    }
+
     /// Breaks the connection that carried an attempt.
     pub(super) fn lose_connection(&mut self, running: RunningWork, after: Duration) {
         self.schedule(after, QueuedItem::AttemptLost(running));
@@ -218,3 +251,7 @@
         self.schedule(delay, QueuedItem::Event(running.ingress, Box::new(event)));
     }
 }
+
+fn passing_time(bytes: usize, rate: u32) -> Duration {
+    Duration::from_secs(1) * u32::try_from(bytes).unwrap_or(u32::MAX) / rate
+}
