--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -29,6 +29,7 @@
 mod crash_requests;
 mod discovery;
 mod dispatch;
+mod distribution;
 mod event;
 mod executor;
 mod fencing;
