Send fleet contracts as patches from the version that a node has

Cause: every version went as a whole, as JSON, to every node. The links of the nodes filled, so that announcements and contact messages waited behind the copies. Up to 109 nodes then followed the source as well and read the whole contract there, over the same links. The last node applied the last version 8 s after the first.

A node now asks with the version and digest of the contract that it has, and gets the difference from it, compressed. A sender that does not know that contract sends all of its own in the same form. The result is put into force only if it has the digest of the sender's contract; otherwise the whole contract is requested. Nodes of older builds cannot read the request, so every fourth one asks for JSON as before. A periodic check no longer asks for a contract but announces the own version, and a node with a newer one answers with its own.

Ruled out: the decision thread.

--- a/crates/contract/src/fleet/mod.rs
+++ b/crates/contract/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 //! in force. The contract contains its own version, and a node never returns to an older one.
 
 mod account;
+mod patch;
 mod table;
 
 use std::collections::BTreeSet;
@@ -27,6 +28,7 @@
 use crate::terms::{DetectionLeaning, MAX_PRIORITY, RepeatClass, RetryBudget};
 
 pub use account::{AccountQuota, AccountRule, FleetAccount};
+pub use patch::{ContractStamp, FleetPatch, PatchError};
 pub use table::{FleetRule, FleetTable};
 
 /// Name under which the requests of a fleet contract are counted.
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -38,8 +38,8 @@
 pub use diff::{ValueChange, diff};
 pub use digest::ContentDigest;
 pub use fleet::{
-    AccountQuota, AccountRule, FLEET_CUSTOMER, FleetAccount, FleetContract, FleetRoute, FleetRule,
-    FleetTable, RoutePart,
+    AccountQuota, AccountRule, ContractStamp, FLEET_CUSTOMER, FleetAccount, FleetContract,
+    FleetPatch, FleetRoute, FleetRule, FleetTable, PatchError, RoutePart,
 };
 pub use table::{
     AccountMatch, CustomerIndex, CustomerRule, KeyRule, MethodSet, RouteRule, RouteTable,
--- a/crates/contract/tests/testsuite/main.rs
+++ b/crates/contract/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod content;
 mod diffs;
 mod findings;
+mod fleet_patch;
 mod peers;
 mod reference;
 mod replay_agreement;
--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -2,14 +2,17 @@
 //!
 //! ```text
 //! holder ── FleetHead ──▶ node
-//!        ◀─ ContractPull ─
-//!        ── ContractPage ─▶ apply
+//!        ◀─ ContractPull ─       the contract that the node has
+//!        ── ContractPage ─▶ apply   a patch from that contract, or the whole one
 //! ```
+//!
+//! A patch is in force only if its result has the digest that the sender gave. A node whose contract
+//! the sender does not know, or whose patch does not apply, receives the whole contract.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use sycamorelink_contract::FleetContract;
+use sycamorelink_contract::{ContractStamp, FleetContract, FleetPatch, PatchError};
 use sycamorelink_core::{InstanceId, NodeId};
 
 use crate::command::NodeCommand;
@@ -31,6 +34,9 @@
 /// version from gossip, so the ancestors in the tree and other peers are asked first to spread the
 /// load.
 const ORIGIN_PULL_ROUND: u32 = 2;
+/// Pull rounds between two that request the contract as JSON. A node of an older build cannot read
+/// requests for patches.
+const JSON_PULL_PERIOD: u32 = 4;
 
 impl NodeEngine {
     /// Records a version that gossip announced.
@@ -49,6 +55,9 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let own = self.fleet.version();
+        if version < own {
+            self.send_peer(from, PeerMessage::FleetHead { version: own }, out);
+        }
         if version <= own {
             return;
         }
@@ -65,8 +74,15 @@
         if !was_behind {
             self.next_pull = now + PULL_RETRY_DELAY;
         }
-        let ask = ContractAsk::Fleet { newer_than: own };
-        self.send_peer(from, PeerMessage::ContractPull { ask }, out);
+        self.request_patch(from, out);
+    }
+
+    /// Requests the newest contract from a peer, as a patch to the one in force.
+    fn request_patch(&mut self, peer: InstanceId, out: &mut Vec<NodeCommand>) {
+        let base = self.fleet.history.current();
+        let base = base.filter(|_| !self.fleet.needs_whole);
+        let ask = ContractAsk::FleetPatch { base };
+        self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
     }
 
     fn is_same_domain(&self, instance: InstanceId) -> bool {
@@ -84,19 +100,30 @@
         let peers = match self.fleet.behind_since() {
             Some(announced_at) if now < announced_at + self.fleet.pull_delay() => return,
             Some(_) => self.next_pull_peers(),
-            None if own == 0 => self.next_present_peer().into_iter().collect(),
+            None if own == 0 => self.next_first_peer(),
             None => return self.check_for_newer(now, out),
         };
         if peers.is_empty() {
             return;
         }
         self.next_pull = now + PULL_RETRY_DELAY;
+        let uses_json = self.fleet.pull_rounds.is_multiple_of(JSON_PULL_PERIOD);
         for peer in peers {
-            let ask = ContractAsk::Fleet { newer_than: own };
-            self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
+            if uses_json {
+                let ask = ContractAsk::Fleet { newer_than: own };
+                self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
+            } else {
+                self.request_patch(peer, out);
+            }
         }
     }
 
+    /// Selects the peer to ask next while no version was announced and none is in force.
+    fn next_first_peer(&mut self) -> Vec<InstanceId> {
+        self.fleet.pull_rounds = self.fleet.pull_rounds.saturating_add(1);
+        self.next_present_peer().into_iter().collect()
+    }
+
     /// Selects the peers to ask next for a missing version. The first round asks the node of
     /// another domain that announced a version, or else the parent in this domain. Later rounds ask
     /// several peers at a time, since those that have not answered may be unreachable.
@@ -126,8 +153,9 @@
         peers
     }
 
-    /// Checks for a newer contract that was not announced to this node: asks the parent in the
-    /// failure domain and, in turn, another node of the fleet. Neither answers if there is none.
+    /// Checks for a newer contract that was not announced to this node: announces its own version to
+    /// the parent in the failure domain and, in turn, to another node of the fleet. A node with a
+    /// newer version announces that in return.
     fn check_for_newer(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
         if self.fleet.follow.active || now < self.fleet.next_check {
             return;
@@ -135,14 +163,33 @@
         self.fleet.next_check = now + CHECK_INTERVAL;
         let parent = self.domain_order().parent();
         let parent = parent.and_then(|node| self.instance_of(node));
-        let newer_than = self.fleet.version();
+        let version = self.fleet.version();
         for peer in parent.into_iter().chain(self.next_present_peer()) {
-            let ask = ContractAsk::Fleet { newer_than };
-            self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
+            self.send_peer(peer, PeerMessage::FleetHead { version }, out);
+        }
+    }
+
+    /// Sends a patch to the contract in force to a peer that has an older one or none.
+    pub(crate) fn on_patch_pull(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        base: Option<ContractStamp>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let newer_than = base.map_or(0, |base| base.version);
+        if !self.has_newer_contract(now, from, newer_than, out) {
+            return;
+        }
+        let ask = ContractAsk::FleetPatch { base };
+        match self.fleet.history.patch_from(base) {
+            Some(Ok(patch)) => self.send_contract(from, newer_than, ask, patch, out),
+            Some(Err(error)) => reject_contract(self.fleet.version(), &error, out),
+            None => {}
         }
     }
 
-    /// Sends the contract in force to a peer that asks for a newer one, if this node has one.
+    /// Sends the contract in force as JSON to a peer that has an older one or none.
     pub(crate) fn on_fleet_pull(
         &mut self,
         now: Duration,
@@ -150,33 +197,98 @@
         newer_than: u64,
         out: &mut Vec<NodeCommand>,
     ) {
+        if !self.has_newer_contract(now, from, newer_than, out) {
+            return;
+        }
         let Some((contract, _)) = &self.fleet.current else {
-            if let Some(age) = self.empty_source_age(now) {
-                self.send_peer(from, PeerMessage::SourceSeen { age }, out);
-            }
             return;
         };
-        if contract.version <= newer_than {
-            return;
-        }
         match serde_json::to_vec(contract.as_ref()) {
             Ok(page) => {
-                out.push(NodeCommand::Note(NodeNote::FleetContractSent {
-                    to: from,
-                    version: contract.version,
-                    newer_than,
-                    bytes: page.len(),
-                }));
                 let ask = ContractAsk::Fleet { newer_than };
-                self.send_peer(from, PeerMessage::ContractPage { ask, page }, out);
+                self.send_contract(from, newer_than, ask, page, out);
             }
-            Err(error) => out.push(NodeCommand::Note(NodeNote::ContractRejected {
-                offset: contract.version,
-                reason: format!("the contract cannot be encoded for a peer: {error}"),
-            })),
+            Err(error) => reject_contract(contract.version, &error, out),
         }
     }
 
+    /// Returns whether this node has a contract newer than this version. Without any contract,
+    /// informs the peer if the source has none either.
+    fn has_newer_contract(
+        &mut self,
+        now: Duration,
+        peer: InstanceId,
+        version: u64,
+        out: &mut Vec<NodeCommand>,
+    ) -> bool {
+        if self.fleet.current.is_none()
+            && let Some(age) = self.empty_source_age(now)
+        {
+            self.send_peer(peer, PeerMessage::SourceSeen { age }, out);
+        }
+        self.fleet.version() > version
+    }
+
+    fn send_contract(
+        &mut self,
+        to: InstanceId,
+        newer_than: u64,
+        ask: ContractAsk,
+        page: Vec<u8>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        out.push(NodeCommand::Note(NodeNote::FleetContractSent {
+            to,
+            version: self.fleet.version(),
+            newer_than,
+            bytes: page.len(),
+        }));
+        self.send_peer(to, PeerMessage::ContractPage { ask, page }, out);
+    }
+
+    /// Applies a patch from a peer. If it does not lead to the contract that it names, the whole
+    /// contract is requested instead.
+    pub(crate) fn on_patch_page(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        page: &[u8],
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let before = self.fleet.version();
+        match self.read_patch(page) {
+            Ok(Some((contract, stamp, base))) => {
+                self.apply_stamped(now, (Arc::new(contract), stamp), Some(from), out);
+                if self.fleet.history.current() == Some(stamp) {
+                    self.fleet.history.keep_patch(base, page);
+                }
+            }
+            Ok(None) => {}
+            Err(error) => {
+                reject_contract(before, &error, out);
+                // Asked at once only the first time, so that a peer that sends faulty patches is
+                // not asked in a loop.
+                if !std::mem::replace(&mut self.fleet.needs_whole, true) {
+                    self.request_patch(from, out);
+                }
+            }
+        }
+        self.note_received(from, before, page.len(), out);
+    }
+
+    /// Decodes a patch and applies it to its base. Returns `None` if its target is not newer than
+    /// the contract in force.
+    fn read_patch(&self, page: &[u8]) -> Result<Option<PatchedContract>, PatchError> {
+        let patch = FleetPatch::decode(page)?;
+        let (base, target) = (patch.base(), patch.target());
+        if target.version <= self.fleet.version() {
+            return Ok(None);
+        }
+        let contract = self.fleet.history.apply(patch)?;
+        Ok(Some((contract, target, base)))
+    }
+
+    /// Applies a contract that a peer sent as JSON.
     pub(crate) fn on_fleet_page(
         &mut self,
         now: Duration,
@@ -186,19 +298,34 @@
     ) {
         let before = self.fleet.version();
         match serde_json::from_slice::<FleetContract>(page) {
-            Ok(contract) => {
-                self.apply_contract(now, Arc::new(contract), Some(from), out);
-                out.push(NodeCommand::Note(NodeNote::FleetContractReceived {
-                    from,
-                    before,
-                    bytes: page.len(),
-                    applied: self.fleet.version() > before,
-                }));
-            }
-            Err(error) => out.push(NodeCommand::Note(NodeNote::ContractRejected {
-                offset: self.fleet.version(),
-                reason: format!("a contract from {from} cannot be read: {error}"),
-            })),
+            Ok(contract) => self.apply_contract(now, Arc::new(contract), Some(from), out),
+            Err(error) => reject_contract(before, &error, out),
         }
+        self.note_received(from, before, page.len(), out);
+    }
+
+    fn note_received(
+        &self,
+        from: InstanceId,
+        before: u64,
+        bytes: usize,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        out.push(NodeCommand::Note(NodeNote::FleetContractReceived {
+            from,
+            before,
+            bytes,
+            applied: self.fleet.version() > before,
+        }));
     }
 }
+
+/// A contract, its stamp, and the base of the patch that resulted in it.
+type PatchedContract = (FleetContract, ContractStamp, Option<ContractStamp>);
+
+fn reject_contract(version: u64, error: &dyn std::error::Error, out: &mut Vec<NodeCommand>) {
+    out.push(NodeCommand::Note(NodeNote::ContractRejected {
+        offset: version,
+        reason: format!("a contract for or from a peer: {error}"),
+    }));
+}
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -18,7 +18,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 use sycamorelink_contract::{
-    AccountRule, CustomerIndex as TableIndex, FleetContract, FleetTable, RouteRule,
+    AccountRule, ContractStamp, CustomerIndex as TableIndex, FleetContract, FleetTable, RouteRule,
 };
 use sycamorelink_core::{CustomerName, InstanceId, NodeId, RefusalCode};
 use sycamorelink_limits::{BudgetPart, MILLIS_PER_REPEAT};
@@ -27,6 +27,7 @@
 
 use crate::command::NodeCommand;
 use crate::contact::ContactState;
+use crate::contract_history::ContractHistory;
 use crate::contracts::{HEAD_KEY, pool_leaning};
 use crate::event::CallerRequest;
 use crate::following::FollowState;
@@ -80,6 +81,10 @@
 pub(crate) struct FleetState {
     /// The contract in force and its compiled form.
     pub(crate) current: Option<(Arc<FleetContract>, Arc<FleetTable>)>,
+    /// Recent contracts and the patches between them.
+    pub(crate) history: ContractHistory,
+    /// Whether a patch did not apply, so that the whole contract is requested.
+    pub(crate) needs_whole: bool,
     /// The newest announced version, and the node that published or announced it.
     pub(crate) head: Option<(u64, NodeId)>,
     /// Versions newer than the one in force, each with the time of its first announcement.
@@ -111,6 +116,8 @@
         let mut random = SmallRng::seed_from_u64(seed);
         Self {
             current: None,
+            history: ContractHistory::default(),
+            needs_whole: false,
             head: None,
             missing: BTreeMap::new(),
             pull_rounds: 0,
@@ -226,6 +233,12 @@
         self.fleet.version()
     }
 
+    /// Returns the version and digest of the fleet contract in force, or `None` if there is none.
+    #[must_use]
+    pub fn fleet_stamp(&self) -> Option<ContractStamp> {
+        self.fleet.history.current()
+    }
+
     /// Puts a valid contract into force and announces it, unless the version in force is as new.
     /// `from` is the peer that sent it, or `None` if it came from the source.
     pub(crate) fn apply_contract(
@@ -234,6 +247,20 @@
         contract: Arc<FleetContract>,
         from: Option<InstanceId>,
         out: &mut Vec<NodeCommand>,
+    ) {
+        if contract.version > self.fleet.version() {
+            let stamp = contract.stamp();
+            self.apply_stamped(now, (contract, stamp), from, out);
+        }
+    }
+
+    /// Does the same with a contract whose stamp is known.
+    pub(crate) fn apply_stamped(
+        &mut self,
+        now: Duration,
+        (contract, stamp): (Arc<FleetContract>, ContractStamp),
+        from: Option<InstanceId>,
+        out: &mut Vec<NodeCommand>,
     ) {
         let version = contract.version;
         let before = self.fleet.version();
@@ -248,6 +275,8 @@
             return;
         }
         let table = Arc::new(FleetTable::new(&contract));
+        self.fleet.history.push(stamp, Arc::clone(&contract));
+        self.fleet.needs_whole = false;
         self.fleet.current = Some((contract, table));
         out.push(NodeCommand::Note(NodeNote::FleetContractAdopted {
             version,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -25,6 +25,7 @@
 mod command;
 mod completion;
 mod contact;
+mod contract_history;
 mod contracts;
 mod crash_requests;
 mod discovery;
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -301,6 +301,13 @@
             PeerMessage::ContractPull {
                 ask: ContractAsk::Fleet { newer_than },
             } => self.on_fleet_pull(now, from, newer_than, out),
+            PeerMessage::ContractPull {
+                ask: ContractAsk::FleetPatch { base },
+            } => self.on_patch_pull(now, from, base, out),
+            PeerMessage::ContractPage {
+                ask: ContractAsk::FleetPatch { .. },
+                page,
+            } => self.on_patch_page(now, from, &page, out),
             PeerMessage::ContractPage {
                 ask: ContractAsk::Fleet { .. },
                 page,
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use sycamorelink_contract::ContractStamp;
 use sycamorelink_core::{AttemptId, CustomerName, InstanceId, ServiceName, UpstreamId};
 use sycamorelink_guard::GuardMessage;
 use sycamorelink_limits::{CrashMessage, QuotaMessage, ShareMember, ShareMessage};
@@ -86,7 +87,7 @@
     ContractPage {
         /// The request that the page answers.
         ask: ContractAsk,
-        /// The page, as JSON.
+        /// The page, as JSON; the encoded patch for [`ContractAsk::FleetPatch`].
         page: Vec<u8>,
     },
     /// Announces that the sender can serve this version of the fleet contract.
@@ -131,9 +132,15 @@
     Page(Option<CustomerName>),
     /// All contracts newer than this version.
     Newer(u64),
-    /// The fleet contract, if the peer has a newer version.
+    /// The whole fleet contract as JSON, if the peer has a newer version. Only requested from peers
+    /// that may not know [`Self::FleetPatch`].
     Fleet {
         /// Version that the requesting node has; 0 for none.
         newer_than: u64,
     },
+    /// A patch that leads to the fleet contract of the peer, if the peer has a newer version.
+    FleetPatch {
+        /// The contract that the requesting node has. `None` requests the whole contract.
+        base: Option<ContractStamp>,
+    },
 }
--- a/crates/engine/src/pulling.rs
+++ b/crates/engine/src/pulling.rs
@@ -101,7 +101,7 @@
             ContractAsk::Page(after) => self.book.page(after.as_ref(), PAGE_BYTES),
             ContractAsk::Newer(version) => self.book.newer(ContractVersion(*version)),
             // The fleet contract has its own request and reply handlers.
-            ContractAsk::Fleet { .. } => return,
+            ContractAsk::Fleet { .. } | ContractAsk::FleetPatch { .. } => return,
         };
         if let Ok(page) = serde_json::to_vec(&page) {
             self.send_peer(from, PeerMessage::ContractPage { ask, page }, out);
--- a/crates/engine/tests/session/contract_spread.rs
+++ b/crates/engine/tests/session/contract_spread.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sycamorelink_contract::{ContentDigest, FleetContract, FleetRoute};
+use sycamorelink_contract::{ContentDigest, ContractStamp, FleetContract, FleetRoute};
 use sycamorelink_core::NodeId;
-use sycamorelink_engine::NodeEvent;
+use sycamorelink_engine::{ContractAsk, NodeEngine, NodeEvent, PeerMessage};
 
 use crate::fleet_contract::contract;
 use crate::world::{SessionWorld, name_of, node};
@@ -178,3 +178,85 @@
     });
     assert!(late.is_empty(), "{late:#?}");
 }
+
+/// Starts a fleet in two failure domains and delivers a contract to node `a` only.
+fn fleet_with_contract_at_a(count: u8, newest: &FleetContract) -> SessionWorld {
+    let mut world = SessionWorld::start_fleet_in(2, count, contract(3, "/prices/"));
+    world.send_event("a", NodeEvent::FleetContract(Arc::new(newest.clone())));
+    world
+}
+
+/// Returns the stamps of the contracts that the nodes apply.
+fn applied_stamps(world: &SessionWorld) -> BTreeSet<Option<ContractStamp>> {
+    let engines = world.engines().values();
+    engines.map(NodeEngine::fleet_stamp).collect()
+}
+
+// Guards against a node that stays behind because it was sent a patch that does not apply.
+#[test]
+fn node_with_a_damaged_patch_receives_the_whole_contract() {
+    let newest = contract(9, "/rates/");
+    let mut world = fleet_with_contract_at_a(2, &newest);
+    let from = world.engines()[&node("a")].own_instance();
+    let message = PeerMessage::ContractPage {
+        ask: ContractAsk::FleetPatch { base: None },
+        page: b"not a patch".to_vec(),
+    };
+    world.send_event("b", NodeEvent::PeerReceived { from, message });
+    world.run_for(PROPAGATION_LIMIT);
+    assert_eq!(
+        applied_stamps(&world),
+        BTreeSet::from([Some(newest.stamp())])
+    );
+}
+
+// Guards against a patch applied to other content of the same version, which the source published
+// again after it lost the first one.
+#[test]
+fn node_with_other_content_of_a_version_receives_the_whole_contract() {
+    let mut world = SessionWorld::start_fleet_in(2, 4, contract(3, "/prices/"));
+    let lost = Arc::new(contract(7, "/lost/"));
+    let published = Arc::new(contract(7, "/published/"));
+    for name in ["a", "b", "c"] {
+        world.send_event(name, NodeEvent::FleetContract(Arc::clone(&published)));
+    }
+    world.send_event("d", NodeEvent::FleetContract(lost));
+    world.run_for(PROPAGATION_LIMIT);
+    let newest = contract(8, "/rates/");
+    world.send_event("a", NodeEvent::FleetContract(Arc::new(newest.clone())));
+    world.run_for(PROPAGATION_LIMIT);
+    assert_eq!(
+        applied_stamps(&world),
+        BTreeSet::from([Some(newest.stamp())])
+    );
+}
+
+// Guards against a node that is not served after it missed more versions than its peers keep.
+#[test]
+fn node_that_missed_many_versions_receives_the_newest() {
+    let mut world = SessionWorld::start_fleet_in(2, 4, contract(3, "/prices/"));
+    world.freeze(node("d"));
+    for version in 4..=30 {
+        let newest = Arc::new(contract(version, &format!("/rates-{version}/")));
+        world.send_event("a", NodeEvent::FleetContract(newest));
+        world.run_for(Duration::from_millis(100));
+    }
+    world.thaw(node("d"));
+    world.run_for(PROPAGATION_LIMIT);
+    let newest = contract(30, "/rates-30/").stamp();
+    assert_eq!(applied_stamps(&world), BTreeSet::from([Some(newest)]));
+}
+
+// Guards against a rolling upgrade in which nodes of one build receive no contract from nodes of the
+// other.
+#[test]
+fn contracts_pass_between_builds_with_and_without_patches() {
+    let newest = contract(9, "/rates/");
+    let mut world = fleet_with_contract_at_a(4, &newest);
+    world.network.without_patches = ["a", "c"].map(node).into();
+    world.run_for(PROPAGATION_LIMIT * 2);
+    assert_eq!(
+        applied_stamps(&world),
+        BTreeSet::from([Some(newest.stamp())])
+    );
+}
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -19,9 +19,9 @@
     AttemptId, CustomerName, InstanceId, NodeId, NodeIncarnation, RequestId, RunState, ServiceName,
 };
 use sycamorelink_engine::{
-    AttemptOrder, AttemptReport, CallerRequest, ContractMode, EngineSettings, LogEntry, LogStream,
-    NodeCommand, NodeEngine, NodeEvent, PeerMessage, UpstreamAnnouncement, WorkEnd, WorkOffer,
-    WorkReport,
+    AttemptOrder, AttemptReport, CallerRequest, ContractAsk, ContractMode, EngineSettings,
+    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, UpstreamAnnouncement,
+    WorkEnd, WorkOffer, WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_limits::WorkId;
@@ -97,6 +97,8 @@
     pub gossip_lost: bool,
     /// Percentage of appends that are repeated because their reply was lost.
     pub duplicated_appends: u32,
+    /// Nodes of an older build, which cannot read requests for patches.
+    pub without_patches: BTreeSet<NodeId>,
     /// Bandwidth of each node's own link in bytes per second and direction; `None` for no limit.
     pub link_rate: Option<u32>,
 }
@@ -527,6 +529,9 @@
                 else {
                     return;
                 };
+                if is_patch_pull(&message) && self.network.without_patches.contains(&to.node) {
+                    return;
+                }
                 let delay = delay + self.transfer_time(id, to.node, &message);
                 let event = NodeEvent::PeerReceived {
                     from: self.engines[&id].own_instance(),
@@ -605,6 +610,13 @@
     }
 }
 
+fn is_patch_pull(message: &PeerMessage) -> bool {
+    let PeerMessage::ContractPull { ask } = message else {
+        return false;
+    };
+    matches!(ask, ContractAsk::FleetPatch { .. })
+}
+
 fn sample_change() -> Vec<u8> {
     let contract = samples::brannock();
     let customer = contract.customer.clone();
