Report the limits that backend servers name in their answers

A backend server in need names in a header how many requests a second it takes from all instances. Nothing read it, and no log or metric showed it. The adapters now decode the header, and the node beside the server reports a limit that begins, changes or ends: SL3017, SL3018, and the gauge server_limit. A limit ends when answers have not named one for a second, since answers of concurrent runs may arrive in another order than they were sent. Of several values the smallest counts; one that is not a decimal number is not a limit and does not end one. No decision changes.

--- a/crates/daemon/src/adapters/backend.rs
+++ b/crates/daemon/src/adapters/backend.rs
@@ -6,6 +6,7 @@
 
 use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, StatusCode};
+use sycamorelink_engine::{LimitNotice, ServerNotice};
 
 use crate::callers::{REQUEST_ID_HEADER, TIMEOUT_HEADER};
 
@@ -67,6 +68,9 @@
     Undelimited,
 }
 
+/// Header in which a backend server names the requests per second that it takes.
+const SERVER_LIMIT_HEADER: HeaderName = HeaderName::from_static("x-server-limit");
+
 /// Protocol for requests to backend servers.
 pub trait BackendAdapter: Debug + Send + Sync {
     /// Builds the head of a request. Returns `None` when a part of it is malformed.
@@ -79,6 +83,32 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> ReplyVerdict;
+
+    /// Reads what the backend server reports about itself in the head of a reply.
+    fn server_notice(&self, headers: &HeaderMap) -> ServerNotice;
+}
+
+/// Reads the limit that a header names, as a decimal number of requests per second. Of several
+/// values the smallest counts.
+#[must_use]
+pub fn read_limit(headers: &HeaderMap, name: &HeaderName) -> LimitNotice {
+    let mut values = headers.get_all(name).iter().peekable();
+    if values.peek().is_none() {
+        return LimitNotice::Absent;
+    }
+    let rates = values.filter_map(parse_decimal);
+    rates
+        .reduce(f64::min)
+        .map_or(LimitNotice::Malformed, LimitNotice::Rate)
+}
+
+fn parse_decimal(value: &HeaderValue) -> Option<f64> {
+    let text = value.to_str().ok()?.trim();
+    let is_decimal = text
+        .bytes()
+        .all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let number: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    number.is_finite().then_some(number)
 }
 
 /// Builds a request's head with the forwarded headers and, in the header `time_header`, the time
@@ -153,4 +183,10 @@
             ReplyVerdict::Undelimited
         }
     }
+
+    fn server_notice(&self, headers: &HeaderMap) -> ServerNotice {
+        ServerNotice {
+            limit: read_limit(headers, &SERVER_LIMIT_HEADER),
+        }
+    }
 }
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -118,6 +118,12 @@
             NodeNote::UpstreamReady { id, service } => {
                 self.emit_upstream(EventCode::UpstreamReady, id, service);
             }
+            NodeNote::ServerLimitChanged {
+                id,
+                service,
+                rate,
+                limited_for,
+            } => self.record_server_limit(id, service, *rate, *limited_for),
             NodeNote::UpstreamLeaving { id, service } => {
                 self.emit_upstream(EventCode::UpstreamLeaving, id, service);
             }
@@ -337,6 +343,30 @@
         self.emit(code, &EventFields::new());
     }
 
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a limit is not negative, and one too large for the gauge is clamped"
+    )]
+    fn record_server_limit(
+        &mut self,
+        id: &UpstreamId,
+        service: &ServiceName,
+        rate: Option<f64>,
+        limited_for: Duration,
+    ) {
+        let gauge = SeriesKey::of(MetricName::ServerLimit).service(service);
+        self.metrics
+            .set(gauge, (rate.unwrap_or_default() * 1000.0).round() as u64);
+        let duration = format!("{}ms", limited_for.as_millis());
+        let fields = EventFields::new().upstream(id).service(service);
+        let fields = fields.duration(&duration);
+        match &rate {
+            Some(rate) => self.emit(EventCode::ServerLimited, &fields.limit(rate)),
+            None => self.emit(EventCode::ServerUnlimited, &fields),
+        }
+    }
+
     fn emit_upstream(&self, code: EventCode, id: &UpstreamId, service: &ServiceName) {
         self.emit(code, &EventFields::new().upstream(id).service(service));
     }
--- a/crates/daemon/src/work/executor.rs
+++ b/crates/daemon/src/work/executor.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use sycamorelink_core::{RefusalCode, RequestRefusal, RunState};
-use sycamorelink_engine::{NodeEvent, WorkEnd, WorkOffer, WorkReport};
+use sycamorelink_engine::{NodeEvent, ServerNotice, WorkEnd, WorkOffer, WorkReport};
 use sycamorelink_limits::admission::WorkId;
 use sycamorelink_policy::{LoadHint, SampleKind};
 use sycamorelink_telemetry::{EventCode, EventFields};
@@ -127,6 +127,7 @@
         status: end.status,
         service_time,
         reply: end.stored,
+        notice: end.notice,
     };
     send_event(&context, NodeEvent::WorkEnded(report)).await;
     if end.end == WorkEnd::Crashed {
@@ -195,6 +196,7 @@
     end: WorkEnd,
     status: Option<u16>,
     stored: Option<Arc<[u8]>>,
+    notice: Option<ServerNotice>,
 }
 
 impl RunEnd {
@@ -203,6 +205,7 @@
             end,
             status: None,
             stored: None,
+            notice: None,
         }
     }
 }
@@ -297,9 +300,15 @@
             self.context
                 .adapter
                 .classify_reply(expectation, parts.status, &parts.headers);
+        let notice = self.context.adapter.server_notice(&parts.headers);
         match verdict {
-            ReplyVerdict::Own => {}
-            ReplyVerdict::Declined => return RunEnd::of(WorkEnd::Declined),
+            ReplyVerdict::Own => self.report_notice(notice).await,
+            ReplyVerdict::Declined => {
+                return RunEnd {
+                    notice: Some(notice),
+                    ..RunEnd::of(WorkEnd::Declined)
+                };
+            }
             ReplyVerdict::Replaced => return RunEnd::of(WorkEnd::Replaced),
             ReplyVerdict::Mismatched => return self.reject(EventCode::ReplyMismatched),
             ReplyVerdict::Undelimited => return self.reject(EventCode::ReplyMalformed),
@@ -326,6 +335,16 @@
             end: WorkEnd::Replied,
             status: Some(head.status),
             stored: self.stored_reply(head, &buffer),
+            notice: Some(notice),
+        }
+    }
+
+    /// Reports a notice before the body has arrived, which can take long. A notice without content
+    /// is reported at the end of the work only.
+    async fn report_notice(&self, notice: ServerNotice) {
+        if notice != ServerNotice::default() {
+            let work = self.work;
+            send_event(&self.context, NodeEvent::ServerNoticed { work, notice }).await;
         }
     }
 
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -220,6 +220,7 @@
             gate: SlotGate::new(settings, now).warm_up_left(now, announced.warm_up),
             breaker: UpstreamBreaker::new(now)
                 .use_run_ages(self.settings.policy.is_on(PolicyMechanism::OpenRuns)),
+            limit: None,
             reported_health: None,
             repeats: None,
             expires_at: now,
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -50,6 +50,14 @@
         /// Id of the work, as given in its offer.
         work: WorkId,
     },
+    /// The head of the answer to running work arrived, and the server reports something about
+    /// itself.
+    ServerNoticed {
+        /// Id of the work, as given in its offer.
+        work: WorkId,
+        /// What the server reports.
+        notice: ServerNotice,
+    },
     /// The work ended, with or without a run.
     WorkEnded(WorkReport),
     /// A message arrived over the peer protocol.
@@ -277,6 +285,27 @@
     pub service_time: Duration,
     /// The complete reply, if small enough to be stored for a resend.
     pub reply: Option<Arc<[u8]>>,
+    /// What the backend server reported about itself; `None` if it did not answer.
+    pub notice: Option<ServerNotice>,
+}
+
+/// What a backend server reports about itself in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerNotice {
+    /// Limit on the requests that the server gets.
+    pub limit: LimitNotice,
+}
+
+/// Limit that a backend server reports in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitNotice {
+    /// The server reports no limit.
+    #[default]
+    Absent,
+    /// The server reports a limit that cannot be read.
+    Malformed,
+    /// Maximum number of requests per second from all nodes together; finite, 0 or more.
+    Rate(f64),
 }
 
 /// Ways in which work ends.
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -335,6 +335,9 @@
         let signature = state.signature();
         let on_turn = state.on_turn;
         self.note_work_end(now, report, out);
+        if let Some(notice) = report.notice {
+            self.on_server_notice(now, work, notice, out);
+        }
         let already_recorded = self
             .works
             .get(&work)
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -50,13 +50,14 @@
 mod quotas;
 mod repeats;
 mod request;
+mod server_notices;
 mod settings;
 mod status;
 
 pub use command::{AttemptOrder, NodeCommand};
 pub use event::{
-    ArrivalKind, AttemptReport, CallerRequest, LifeId, LogEntry, LogStream, NodeEvent,
-    UpstreamAnnouncement, UpstreamLife, WorkEnd, WorkOffer, WorkReport,
+    ArrivalKind, AttemptReport, CallerRequest, LifeId, LimitNotice, LogEntry, LogStream, NodeEvent,
+    ServerNotice, UpstreamAnnouncement, UpstreamLife, WorkEnd, WorkOffer, WorkReport,
 };
 pub use fleet::ContractMode;
 pub use leaving::{LeavingMessage, LeavingServer};
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -28,6 +28,7 @@
 use crate::quotas::QuotaState;
 use crate::repeats::RepeatBudgets;
 use crate::request::{RequestState, WorkState};
+use crate::server_notices::ServerLimit;
 use crate::settings::EngineSettings;
 
 /// Interval of the periodic work.
@@ -60,6 +61,8 @@
     pub(crate) breaker: UpstreamBreaker,
     /// Budget of repeats that the server may be given; `None` before the first repeat.
     pub(crate) repeats: Option<RepeatBudgets>,
+    /// Limit on the requests that the server gets, as last reported by it.
+    pub(crate) limit: Option<ServerLimit>,
     /// Health last reported to the nodes of callers.
     pub(crate) reported_health: Option<ReportedHealth>,
     /// Time at which the announcement expires unless renewed.
@@ -295,6 +298,9 @@
             NodeEvent::WorkOffered(offer) => self.on_work_offered(now, offer, out),
             NodeEvent::WorkCancelled { work } => self.on_work_cancelled(now, work, out),
             NodeEvent::WorkConnectionLost { work } => self.on_work_connection_lost(now, work, out),
+            NodeEvent::ServerNoticed { work, notice } => {
+                self.on_server_notice(now, work, notice, out);
+            }
             NodeEvent::WorkEnded(report) => self.on_work_ended(now, &report, out),
             NodeEvent::PeerReceived { from, message } => {
                 self.on_peer_message(now, from, message, out);
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -307,6 +307,18 @@
         /// Service of the upstream.
         service: ServiceName,
     },
+    /// A local backend server reported a limit on the requests that it gets, another one, or none
+    /// any more.
+    ServerLimitChanged {
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Requests per second; `None` if it reports no limit any more.
+        rate: Option<f64>,
+        /// Time since it first reported a limit.
+        limited_for: Duration,
+    },
     /// A local backend server is leaving.
     UpstreamLeaving {
         /// Id of the upstream.
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -20,8 +20,8 @@
 };
 use sycamorelink_engine::{
     AttemptOrder, AttemptReport, CallerRequest, ContractAsk, ContractMode, EngineSettings,
-    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, UpstreamAnnouncement,
-    WorkEnd, WorkOffer, WorkReport,
+    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, ServerNotice,
+    UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_limits::WorkId;
@@ -55,6 +55,8 @@
     pub status: u16,
     /// Run time.
     pub time: Duration,
+    /// What it reports about itself in its replies.
+    pub notice: ServerNotice,
 }
 
 impl Default for BackendScript {
@@ -63,6 +65,7 @@
             end: WorkEnd::Replied,
             status: 200,
             time: SERVICE_TIME,
+            notice: ServerNotice::default(),
         }
     }
 }
@@ -119,6 +122,8 @@
     pub scripts: BTreeMap<NodeId, BackendScript>,
     /// Number of runs of each request, counted at the backend servers.
     pub runs: BTreeMap<RequestId, u32>,
+    /// Times at which each node's backend server was given work.
+    pub arrivals: BTreeMap<NodeId, Vec<Duration>>,
     /// Injected faults.
     pub network: NetworkFaults,
     /// Time until which messages occupy the link of each node that sends them.
@@ -224,6 +229,7 @@
             log_reachable: true,
             scripts: BTreeMap::new(),
             runs: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
             network: NetworkFaults::default(),
             uplinks_busy_until: BTreeMap::new(),
             downlinks_busy_until: BTreeMap::new(),
@@ -488,6 +494,7 @@
             NodeCommand::Dispatch(order) => self.offer(id, *order),
             NodeCommand::RunWork { work, .. } => {
                 let script = self.script(id);
+                self.arrivals.entry(id).or_default().push(self.now);
                 let starts =
                     !self.crashed_backends.contains(&id) && script.end != WorkEnd::NotStarted;
                 if let Some(running) = self.works.get_mut(&(id, work)) {
--- a/crates/engine/tests/session/world/work.rs
+++ b/crates/engine/tests/session/world/work.rs
@@ -88,6 +88,7 @@
                 status: None,
                 service_time: LINK_DELAY,
                 reply: None,
+                notice: None,
             })
         } else {
             NodeEvent::WorkCancelled { work }
@@ -183,6 +184,7 @@
             status: (script.end == WorkEnd::Replied).then_some(script.status),
             service_time: script.time,
             reply,
+            notice: (script.end == WorkEnd::Replied).then_some(script.notice),
         };
         self.feed(id, NodeEvent::WorkEnded(report));
         if !self.engines.contains_key(&id) {
--- a/crates/telemetry/src/event/entries/detection.rs
+++ b/crates/telemetry/src/event/entries/detection.rs
@@ -133,4 +133,19 @@
                 no failures for some seconds.",
         action: "Nothing.",
     },
+    EventEntry {
+        code: EventCode::ServerLimited,
+        reserved: false,
+        meaning: "The backend server beside this daemon names in its answers how many requests a \
+                second it takes from all instances together. `limit` is that number and `duration` \
+                the time since it first named one.",
+        action: "Look for the reason at the server. `server_limit` shows the limit in force.",
+    },
+    EventEntry {
+        code: EventCode::ServerUnlimited,
+        reserved: false,
+        meaning: "The answers of the backend server beside this daemon have named no limit for a \
+                second. `duration` is the time since it first named one.",
+        action: "Nothing.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -130,6 +130,8 @@
         "Time from the first bad sample of an upstream to its ejection.";
     SlotsUsed Gauge "slots_used" "slots" ["service"]
         "Slots in use at the backend servers of this instance.";
+    ServerLimit Gauge "server_limit" "requests/1000s" ["service"]
+        "Limit that the backend server of this instance names, in requests per thousand seconds; 0 without one.";
     QueueLength Gauge "queue_length" "requests" ["service"]
         "Requests waiting for a slot at this instance.";
     QueueWait Timer "queue_wait" "microseconds" ["service"]
