--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -10,4 +10,5 @@
 mod regressions;
 mod repeat_bound;
 mod scenarios;
+mod server_limit;
 mod world;
