Hold the limit that a backend server names, at the gate beside it

Cause: the limit was not read, so the server got its usual share.

All requests for a server pass the slot gate beside it, wherever they began: first attempts, repeats, hedges, trials, and work that waited for a slot. The gate now holds a token bucket at the rate that the server names, with one second's permits at most, so that a window of four seconds gets at most 4 L + max(L, 1) requests. It starts empty. Work that would get no permit in time is refused as not run, with the time of the next permit, and goes to other servers. The load that the gate reports includes the wait for a permit, so that nodes that choose by load pick others first. When a limit is first named, work queued at the pace before is refused. A limit of zero still lets a request pass every four seconds, since only answers show that it has ended.

The bucket stays with the incarnation of the server when its gate is replaced. Three other nodes store the limit for the next incarnation of the daemon, as they do for leaving servers; the bucket starts empty again then.

Failed before: limited_server_gets_no_more_than_it_names. Other tests: changes and end of a limit, zero, a value that cannot be read, repeats while all other servers fail, refusal within milliseconds when all servers are at their limits, restart of the daemon, random offers under changing limits.

--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -118,6 +118,9 @@
             NodeNote::UpstreamReady { id, service } => {
                 self.emit_upstream(EventCode::UpstreamReady, id, service);
             }
+            NodeNote::ServerLimitHeld { service } => {
+                self.increment(SeriesKey::of(MetricName::ServerLimitRefused).service(service));
+            }
             NodeNote::ServerLimitChanged {
                 id,
                 service,
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -9,6 +9,7 @@
 
 use crate::command::NodeCommand;
 use crate::event::{LifeId, UpstreamAnnouncement};
+use crate::leaving::life_of;
 use crate::node::{CLOSE_GRACE, LocalUpstream, NodeEngine};
 use crate::note::NodeNote;
 use crate::request::WorkPhase;
@@ -48,6 +49,10 @@
             .as_mut()
             .filter(|known| known.announced.service == announced.service)
             .and_then(|known| known.repeats.take());
+        let limit = known
+            .as_mut()
+            .filter(|known| known.life_id().as_ref() == life_of(&announced))
+            .and_then(LocalUpstream::take_limit);
         let existing = known.filter(|known| is_same_life(known, &announced));
         let new_gate = existing.is_none();
         // Guards against new work for a leaving server after a restart of this node. The grace
@@ -58,6 +63,9 @@
         // Kept across restarts of the server: a reset would refill its part of the bound on every
         // crash.
         upstream.repeats = repeats;
+        if let Some(limit) = limit {
+            upstream.put_limit(limit);
+        }
         upstream.closes_at = match announced.phase {
             UpstreamPhase::Leaving => upstream.closes_at.or(Some(closes_at)),
             UpstreamPhase::Starting | UpstreamPhase::Ready => None,
@@ -73,6 +81,7 @@
         let phase = upstream.announced.phase;
         self.upstreams.insert(slot, upstream);
         if new_gate {
+            self.restore_limit(now, slot);
             self.refuse_queued(now, slot, RefusalCode::Overloaded, out);
         }
         if !same {
@@ -221,6 +230,7 @@
             breaker: UpstreamBreaker::new(now)
                 .use_run_ages(self.settings.policy.is_on(PolicyMechanism::OpenRuns)),
             limit: None,
+            has_answered: false,
             reported_health: None,
             repeats: None,
             expires_at: now,
@@ -354,7 +364,7 @@
 /// its gate and returns counts as a new one.
 fn is_same_life(known: &LocalUpstream, announced: &UpstreamAnnouncement) -> bool {
     let reopened = known.closes_at.is_some() && announced.phase != UpstreamPhase::Leaving;
-    let same = known.life_id().as_ref() == announced.life.as_ref().map(|life| &life.id);
+    let same = known.life_id().as_ref() == life_of(announced);
     known.announced.slots == announced.slots && !reopened && same
 }
 
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -22,6 +22,7 @@
 use crate::event::{ArrivalKind, WorkEnd, WorkOffer, WorkReport};
 use crate::fencing::FenceMark;
 use crate::node::{HandoverState, LocalUpstream, NodeEngine};
+use crate::note::NodeNote;
 use crate::request::{WorkPhase, WorkState};
 
 /// Lowest HTTP status that counts as a server error.
@@ -168,6 +169,10 @@
             GateDecision::Run => self.start_work(now, work, out),
             GateDecision::Queued => {}
             GateDecision::Refused { code, retry_after } => {
+                if upstream.limit.is_some() && code == RefusalCode::Overloaded {
+                    let service = upstream.announced.service.clone();
+                    out.push(NodeCommand::Note(NodeNote::ServerLimitHeld { service }));
+                }
                 self.refuse_unstarted(now, work, code, retry_after, out);
             }
         }
--- a/crates/engine/src/leaving.rs
+++ b/crates/engine/src/leaving.rs
@@ -150,7 +150,7 @@
     }
 }
 
-fn life_of(announced: &UpstreamAnnouncement) -> Option<&LifeId> {
+pub(crate) fn life_of(announced: &UpstreamAnnouncement) -> Option<&LifeId> {
     announced.life.as_ref().map(|life| &life.id)
 }
 
@@ -204,7 +204,7 @@
             slot: announced.slot,
             life: life.clone(),
         };
-        for replica in self.leaving_replicas(self.own.instance.node) {
+        for replica in self.replicas_of(self.own.instance.node) {
             let message = LeavingMessage::Leaves(leaving.clone());
             self.send_peer(replica, PeerMessage::Leaving(message), out);
         }
@@ -212,7 +212,7 @@
 
     /// Returns the replicas of a node: the other members that rank first in a hash order specific
     /// to it.
-    fn leaving_replicas(&self, node: NodeId) -> Vec<InstanceId> {
+    pub(crate) fn replicas_of(&self, node: NodeId) -> Vec<InstanceId> {
         let members = self.present_instances();
         let others = members.into_iter().filter(|other| other.node != node);
         let rank =
@@ -242,6 +242,7 @@
     /// announcements.
     pub(crate) fn tick_leaving_servers(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
         self.leaving_records.remove_expired(now);
+        self.limit_records.remove_expired(now);
         let lookup = &mut self.leaving_records.lookup;
         let enough = lookup.replied.len() >= REQUIRED_REPLIES || now >= REPLY_TIMEOUT;
         if lookup.is_done || !enough {
@@ -281,7 +282,7 @@
         address: SocketAddr,
         out: &mut Vec<NodeCommand>,
     ) {
-        for replica in self.leaving_replicas(asker.node) {
+        for replica in self.replicas_of(asker.node) {
             if replica == self.own.instance {
                 self.send_leaving_servers(now, asker, address, out);
                 continue;
@@ -302,6 +303,8 @@
         address: SocketAddr,
         out: &mut Vec<NodeCommand>,
     ) {
+        // Sent first, because the reply below ends the wait of the asking node.
+        self.send_stored_limits(now, asker, address, out);
         let servers = self.leaving_records.stored_for(now, asker.node);
         // The membership of this node may not include the new incarnation yet, so the reply goes to
         // the address in the query.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -41,6 +41,7 @@
 mod ingress;
 mod joining;
 mod leaving;
+mod limit_records;
 mod membership;
 mod message;
 mod node;
@@ -61,6 +62,7 @@
 };
 pub use fleet::ContractMode;
 pub use leaving::{LeavingMessage, LeavingServer};
+pub use limit_records::LimitedServer;
 pub use message::{ContractAsk, PeerMessage};
 pub use node::NodeEngine;
 pub use note::{NodeNote, RequestSummary};
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -316,6 +316,10 @@
             PeerMessage::ContractPage { ask, page } => {
                 self.on_contract_page(now, from, &ask, &page, out);
             }
+            PeerMessage::ServerLimit(limited) => {
+                self.limit_records.store(now, from.node, limited);
+            }
+            PeerMessage::StoredLimits(limits) => self.on_stored_limits(now, limits),
             PeerMessage::FleetHead { version } => self.on_head_announced(now, from, version, out),
             PeerMessage::RosterAsk { hashes } => self.on_roster_ask(from, &hashes, out),
             PeerMessage::RosterState { state } => self.on_roster_state(now, from, state, out),
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -11,6 +11,7 @@
 use sycamorelink_roster::RosterMessage;
 
 use crate::leaving::LeavingMessage;
+use crate::limit_records::LimitedServer;
 
 /// A message between two nodes. Any message may be lost, duplicated or reordered.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -122,6 +123,10 @@
         /// The state, handled like a gossip datagram.
         state: RosterMessage,
     },
+    /// Limit of a local backend server, stored for the next incarnation of the node beside it.
+    ServerLimit(LimitedServer),
+    /// The limits that the sender has stored for the receiver.
+    StoredLimits(Vec<LimitedServer>),
 }
 
 /// Contracts that a node requests from a peer.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -25,6 +25,7 @@
 use crate::health::ReportedHealth;
 use crate::joining::JoinState;
 use crate::leaving::LeavingRecords;
+use crate::limit_records::LimitRecords;
 use crate::quotas::QuotaState;
 use crate::repeats::RepeatBudgets;
 use crate::request::{RequestState, WorkState};
@@ -63,6 +64,8 @@
     pub(crate) repeats: Option<RepeatBudgets>,
     /// Limit on the requests that the server gets, as last reported by it.
     pub(crate) limit: Option<ServerLimit>,
+    /// Whether the server has answered this incarnation of the node.
+    pub(crate) has_answered: bool,
     /// Health last reported to the nodes of callers.
     pub(crate) reported_health: Option<ReportedHealth>,
     /// Time at which the announcement expires unless renewed.
@@ -116,6 +119,7 @@
     pub(crate) joining: JoinState,
     pub(crate) quotas: QuotaState,
     pub(crate) leaving_records: LeavingRecords,
+    pub(crate) limit_records: LimitRecords,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
     pub(crate) shares: ShareNode,
@@ -225,6 +229,7 @@
             joining: JoinState::default(),
             quotas,
             leaving_records,
+            limit_records: LimitRecords::default(),
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
             pool_used: BTreeMap::new(),
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -319,6 +319,11 @@
         /// Time since it first reported a limit.
         limited_for: Duration,
     },
+    /// Work was refused at a backend server that limits the requests that it gets.
+    ServerLimitHeld {
+        /// Service of the upstream.
+        service: ServiceName,
+    },
     /// A local backend server is leaving.
     UpstreamLeaving {
         /// Id of the upstream.
--- a/crates/engine/src/server_notices.rs
+++ b/crates/engine/src/server_notices.rs
@@ -1,16 +1,21 @@
 //! What the local backend servers report about themselves in their answers.
 //!
 //! ```text
-//! answer ─ head ─▶ ServerNotice ─▶ limit of the server that ran the work
+//! answer ─ head ─▶ ServerNotice ─▶ limit of the server that ran the work ─▶ SlotGate
 //! ```
+//!
+//! All work for a server passes the slot gate beside it, whichever node sent it, so a limit that is
+//! held there holds for all nodes together.
 
 use std::time::Duration;
 
-use sycamorelink_limits::WorkId;
+use sycamorelink_core::RefusalCode;
+use sycamorelink_limits::{PermitBucket, WorkId};
 
 use crate::command::NodeCommand;
 use crate::event::{LimitNotice, ServerNotice};
 use crate::executor::upstream_id;
+use crate::limit_records::RENEWAL_INTERVAL;
 use crate::node::{LocalUpstream, NodeEngine};
 use crate::note::NodeNote;
 
@@ -27,6 +32,8 @@
     since: Duration,
     /// When the server last reported the limit.
     reported_at: Duration,
+    /// When the limit was last sent to the replicas, other than because it changed.
+    replicated_at: Duration,
 }
 
 impl NodeEngine {
@@ -48,38 +55,88 @@
         if upstream.life_id() != state.life {
             return;
         }
+        upstream.has_answered = true;
         let before = upstream.limit;
         upstream.apply_limit(now, notice.limit);
         let after = upstream.limit;
-        if before.map(|limit| limit.rate) == after.map(|limit| limit.rate) {
-            return;
+        if before.map(|limit| limit.rate) != after.map(|limit| limit.rate) {
+            self.on_limit_changed(now, slot, before, out);
         }
-        let since = before.or(after).map_or(now, |limit| limit.since);
+        self.renew_limit_replicas(now, slot, out);
+    }
+
+    fn on_limit_changed(
+        &mut self,
+        now: Duration,
+        slot: u16,
+        before: Option<ServerLimit>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let Some(upstream) = self.upstreams.get(&slot) else {
+            return;
+        };
+        let since = before.or(upstream.limit).map_or(now, |limit| limit.since);
         out.push(NodeCommand::Note(NodeNote::ServerLimitChanged {
             id: upstream_id(self.own.instance, slot),
             service: upstream.announced.service.clone(),
-            rate: after.map(|limit| limit.rate),
+            rate: upstream.limit.map(|limit| limit.rate),
             limited_for: now.saturating_sub(since),
         }));
+        if before.is_none() {
+            // Queued work was accepted at another pace. Other servers may still serve it in time.
+            self.refuse_queued(now, slot, RefusalCode::Overloaded, out);
+        }
+        self.replicate_limit(slot, out);
+    }
+
+    fn renew_limit_replicas(&mut self, now: Duration, slot: u16, out: &mut Vec<NodeCommand>) {
+        let upstream = self.upstreams.get_mut(&slot);
+        let limit = upstream.and_then(|upstream| upstream.limit.as_mut());
+        let due = limit.filter(|limit| now >= limit.replicated_at + RENEWAL_INTERVAL);
+        if let Some(limit) = due {
+            limit.replicated_at = now;
+            self.replicate_limit(slot, out);
+        }
     }
 }
 
 impl LocalUpstream {
     fn apply_limit(&mut self, now: Duration, notice: LimitNotice) {
         match notice {
-            LimitNotice::Rate(rate) => {
-                self.limit = Some(ServerLimit {
-                    rate,
-                    since: self.limit.map_or(now, |limit| limit.since),
-                    reported_at: now,
-                });
-            }
+            LimitNotice::Rate(rate) => self.set_limit(now, Some(rate)),
             LimitNotice::Absent => {
-                self.limit = self
-                    .limit
-                    .filter(|limit| now < limit.reported_at + LIMIT_RETENTION);
+                let limit = self.limit;
+                if limit.is_some_and(|limit| now >= limit.reported_at + LIMIT_RETENTION) {
+                    self.set_limit(now, None);
+                }
             }
             LimitNotice::Malformed => {}
         }
     }
+
+    /// Takes the limit in force with its permits, for the next gate of the same incarnation.
+    pub(crate) fn take_limit(&mut self) -> Option<(ServerLimit, PermitBucket)> {
+        let limit = self.limit.take()?;
+        Some((limit, self.gate.take_permits()?))
+    }
+
+    /// Puts a limit with its permits into force.
+    pub(crate) fn put_limit(&mut self, (limit, permits): (ServerLimit, PermitBucket)) {
+        self.limit = Some(limit);
+        self.gate.put_permits(permits);
+    }
+
+    /// Puts a limit into force, or ends it.
+    pub(crate) fn set_limit(&mut self, now: Duration, rate: Option<f64>) {
+        let before = self.limit;
+        self.limit = rate.map(|rate| ServerLimit {
+            rate,
+            since: before.map_or(now, |limit| limit.since),
+            reported_at: now,
+            replicated_at: before.map_or(now, |limit| limit.replicated_at),
+        });
+        if before.map(|limit| limit.rate) != rate {
+            self.gate.set_rate_limit(now, rate);
+        }
+    }
 }
--- a/crates/engine/tests/session/server_limit.rs
+++ b/crates/engine/tests/session/server_limit.rs
@@ -1,11 +1,15 @@
 //! Backend servers that limit the requests that they get.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use sycamorelink_core::RequestId;
-use sycamorelink_engine::{LimitNotice, ServerNotice};
+use sycamorelink_core::{RequestId, ServiceName};
+use sycamorelink_engine::{
+    LifeId, LimitNotice, NodeEvent, ServerNotice, UpstreamAnnouncement, UpstreamLife,
+};
+use sycamorelink_policy::UpstreamPhase;
 
-use crate::fleet_contract::contract;
+use crate::fleet_contract::{contract, fail_backends_of};
 use crate::world::{BackendScript, SessionWorld, name_of, node};
 
 const FLEET_SIZE: u8 = 4;
@@ -78,3 +82,119 @@
         .collect();
     assert!(unserved.is_empty(), "{unserved:?}");
 }
+
+// Guards against a burst when a limit changes, and against a limit that stays after its end.
+#[test]
+fn changed_limits_hold_and_ended_ones_do_not() {
+    let mut world = limited_fleet(LimitNotice::Rate(8.0));
+    let mut next = send_requests(&mut world, 1, Duration::from_secs(6));
+    set_limit(&mut world, "a", LimitNotice::Rate(LIMIT_RATE));
+    let lowered_at = world.now();
+    next = send_requests(&mut world, next, Duration::from_secs(10));
+    let most = max_arrivals(&world, "a", lowered_at + SETTLE_TIME);
+    assert!(most <= allowed(LIMIT_RATE), "{most} requests");
+    set_limit(&mut world, "a", LimitNotice::Absent);
+    let ended_at = world.now();
+    send_requests(&mut world, next, Duration::from_secs(10));
+    let most = max_arrivals(&world, "a", ended_at + SETTLE_TIME);
+    assert!(most > allowed(LIMIT_RATE), "{most} requests");
+}
+
+// Guards against a server that takes no requests for the moment and is then never asked again.
+#[test]
+fn server_with_a_limit_of_zero_is_asked_now_and_then() {
+    let mut world = limited_fleet(LimitNotice::Rate(0.0));
+    let named_at = world.now();
+    let next = send_requests(&mut world, 1, Duration::from_secs(15));
+    let most = max_arrivals(&world, "a", named_at + SETTLE_TIME);
+    assert!((1.0..=allowed(0.0)).contains(&most), "{most} requests");
+    set_limit(&mut world, "a", LimitNotice::Absent);
+    world.run_for(SETTLE_TIME);
+    let ended_at = world.now();
+    send_requests(&mut world, next, Duration::from_secs(15));
+    let most = max_arrivals(&world, "a", ended_at);
+    assert!(most > allowed(LIMIT_RATE), "{most} requests");
+}
+
+// Guards against a limit that ends because one answer names something that cannot be read.
+#[test]
+fn unreadable_limit_does_not_end_the_one_in_force() {
+    let mut world = limited_fleet(LimitNotice::Rate(LIMIT_RATE));
+    let next = send_requests(&mut world, 1, Duration::from_secs(2));
+    set_limit(&mut world, "a", LimitNotice::Malformed);
+    let changed_at = world.now();
+    send_requests(&mut world, next, Duration::from_secs(10));
+    let most = max_arrivals(&world, "a", changed_at);
+    assert!(most <= allowed(LIMIT_RATE), "{most} requests");
+}
+
+// Guards against repeats that reach a limited server beyond its limit.
+#[test]
+fn repeats_count_towards_the_limit() {
+    let mut world = limited_fleet(LimitNotice::Rate(LIMIT_RATE));
+    fail_backends_of(&mut world, &["b", "c", "d"]);
+    let named_at = world.now();
+    send_requests(&mut world, 1, Duration::from_secs(15));
+    let most = max_arrivals(&world, "a", named_at + SETTLE_TIME);
+    assert!(most <= allowed(LIMIT_RATE), "{most} requests");
+}
+
+// Guards against requests that wait for a permit until their deadline when no server can take them.
+#[test]
+fn requests_beyond_all_limits_are_refused_at_once() {
+    let mut world = SessionWorld::start_fleet_in(2, FLEET_SIZE, contract(3, "/prices/"));
+    for name in (0..FLEET_SIZE).map(name_of) {
+        set_limit(&mut world, &name, LimitNotice::Rate(1.0));
+    }
+    let end = send_requests(&mut world, 1, Duration::from_secs(10));
+    let last = format!(" {}", end - 1);
+    let trace = world.trace();
+    let lines: Vec<&str> = trace.lines().filter(|line| line.contains(&last)).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Announces a named incarnation of a node's backend server.
+fn announce_life(world: &mut SessionWorld, name: &str, order: u64) {
+    let id = LifeId {
+        name: Arc::from(format!("server-{name}")),
+        started: None,
+    };
+    let announced = UpstreamAnnouncement {
+        slot: 0,
+        service: ServiceName::new("orders"),
+        slots: 5,
+        phase: UpstreamPhase::Ready,
+        life: Some(UpstreamLife { id, order }),
+        warm_up: None,
+    };
+    world.send_event(name, NodeEvent::UpstreamAnnounced(announced));
+}
+
+// Guards against a burst after the daemon beside a limited server restarts, since the other nodes
+// keep sending at their pace.
+#[test]
+fn limit_is_known_to_the_next_incarnation_of_the_daemon() {
+    let mut world = limited_fleet(LimitNotice::Rate(LIMIT_RATE));
+    announce_life(&mut world, "a", 1);
+    let next = send_requests(&mut world, 1, Duration::from_secs(6));
+    let restarted_at = world.now();
+    world.kill("a");
+    world.run_for(Duration::from_millis(500));
+    world.start_node(0, 2);
+    world.run_for(Duration::from_millis(100));
+    announce_life(&mut world, "a", 2);
+    world.run_for(Duration::from_millis(600));
+    // The first answer takes long, so that it does not name the limit in time.
+    let script = BackendScript {
+        time: Duration::from_secs(1),
+        ..world.scripts[&node("a")]
+    };
+    world.scripts.insert(node("a"), script);
+    send_requests(&mut world, next, Duration::from_secs(6));
+    let arrivals = &world.arrivals[&node("a")];
+    let after = arrivals.iter().filter(|at| **at >= restarted_at).count();
+    assert!(after > 0, "the server gets requests again");
+    let most = max_arrivals(&world, "a", restarted_at);
+    let limit = LIMIT_RATE * LIMIT_WINDOW.as_secs_f64() + 2.0;
+    assert!(most <= limit, "{most} requests");
+}
--- a/crates/limits/src/admission/gate.rs
+++ b/crates/limits/src/admission/gate.rs
@@ -7,6 +7,7 @@
 
 use super::estimate::{RetryPacer, ServiceEstimate};
 use super::lane::{LaneKey, LaneSet, QueuedWork};
+use super::permits::PermitBucket;
 use super::reserve::SlotReserve;
 use super::{GateCommand, GateDecision, GateLoad, GateSettings, WorkClass, WorkId};
 
@@ -29,6 +30,8 @@
     expired: Vec<WorkId>,
     estimate: ServiceEstimate,
     pacer: RetryPacer,
+    /// Permits to start work; `None` if the backend server names no rate limit.
+    permits: Option<PermitBucket>,
     reserve: SlotReserve,
     above_target_since: Option<Duration>,
     overloaded: bool,
@@ -49,6 +52,7 @@
             expired: Vec::new(),
             estimate,
             pacer: RetryPacer::default(),
+            permits: None,
             reserve: SlotReserve::default(),
             above_target_since: None,
             overloaded: false,
@@ -69,6 +73,25 @@
         self
     }
 
+    /// Sets the number of requests per second that the backend server gets at most; `None` for no
+    /// limit.
+    pub fn set_rate_limit(&mut self, now: Duration, rate: Option<f64>) {
+        match (&mut self.permits, rate) {
+            (Some(permits), Some(rate)) => permits.set_rate(now, rate),
+            (permits, rate) => *permits = rate.map(|rate| PermitBucket::new(now, rate)),
+        }
+    }
+
+    /// Removes the rate limit and returns its permits.
+    pub fn take_permits(&mut self) -> Option<PermitBucket> {
+        self.permits.take()
+    }
+
+    /// Sets a rate limit with the permits that are left of it.
+    pub fn put_permits(&mut self, permits: PermitBucket) {
+        self.permits = Some(permits);
+    }
+
     /// Returns whether new work is refused because the backend server is shutting down.
     #[must_use]
     pub const fn is_closed(&self) -> bool {
@@ -222,14 +245,39 @@
     /// Returns the present load.
     #[must_use]
     pub fn load(&self, now: Duration) -> GateLoad {
+        let slots = self.open_slots(now);
+        let in_use = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let queued = u32::try_from(self.lanes.len()).unwrap_or(u32::MAX);
+        let permit_wait = self.permit_wait(now);
         GateLoad {
-            in_use: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
-            slots: self.open_slots(now),
-            queued: u32::try_from(self.lanes.len()).unwrap_or(u32::MAX),
+            in_use: if permit_wait.is_zero() {
+                in_use
+            } else {
+                in_use.max(slots)
+            },
+            slots,
+            queued: queued.max(self.runs_within(permit_wait, slots)),
             closed: self.closed,
         }
     }
 
+    /// Returns the number of runs that this many slots would complete within a time, up to one for
+    /// each slot. Peers compare servers by their queues, so the wait for a permit is reported as the
+    /// queue that would take as long. A longer one would keep peers away after the limit has ended.
+    fn runs_within(&self, time: Duration, slots: u32) -> u32 {
+        let cost = self.estimate.cost(Duration::ZERO).as_millis().max(1);
+        let runs = time.as_millis() * u128::from(slots) / cost;
+        u32::try_from(runs).unwrap_or(u32::MAX).min(slots)
+    }
+
+    /// Returns the time until a new request gets a permit; zero without a rate limit.
+    fn permit_wait(&self, now: Duration) -> Duration {
+        let permits = self.permits.as_ref();
+        permits.map_or(Duration::ZERO, |permits| {
+            permits.wait(now, self.lanes.len())
+        })
+    }
+
     /// Returns the number of open slots: one at a cold start, then linearly more up to all slots.
     ///
     /// With all slots open at once, the first requests to a cold backend server would all time out
@@ -245,8 +293,11 @@
         1 + u32::try_from(opened).unwrap_or(slots)
     }
 
+    /// Returns whether another request may start: a slot and, under a rate limit, a permit is free.
     fn has_free_slot(&self, now: Duration) -> bool {
+        let permits = self.permits.as_ref();
         self.running.len() < self.open_slots(now) as usize
+            && permits.is_none_or(|permits| permits.is_available(now))
     }
 
     /// Returns whether a new request of this customer may run at once: a slot is free and no queued
@@ -264,6 +315,9 @@
     }
 
     fn occupy_slot(&mut self, now: Duration, customer: CustomerName, key: LaneKey, cost: Duration) {
+        if let Some(permits) = &mut self.permits {
+            permits.withdraw(now);
+        }
         let running = self.lanes.running_of(&customer);
         let slots = self.open_slots(now);
         self.reserve.started(now, &customer, running, slots);
@@ -285,7 +339,8 @@
         cost: Duration,
     ) -> Duration {
         let ahead = self.lanes.cost_ahead(customer, key, cost);
-        (self.remaining_cost(now) + ahead) / self.open_slots(now)
+        let slot_wait = (self.remaining_cost(now) + ahead) / self.open_slots(now);
+        slot_wait.max(self.permit_wait(now))
     }
 
     /// Returns the remaining service time of all running work. Work that exceeds its expected cost
@@ -339,6 +394,11 @@
     fn retry_after(&mut self, now: Duration, cost: Duration) -> Duration {
         let slots = self.open_slots(now);
         let drain_time = (self.remaining_cost(now) + self.lanes.total_cost()) / slots;
+        if self.permits.is_some() {
+            // Most requests that a limited server refuses run elsewhere and do not come back, so
+            // spacing the hints would put them far behind the next permit.
+            return drain_time.max(self.permit_wait(now));
+        }
         self.pacer.next(now, drain_time, cost / slots)
     }
 }
--- a/crates/limits/src/admission/mod.rs
+++ b/crates/limits/src/admission/mod.rs
@@ -1,7 +1,7 @@
 //! Admission control in front of a backend server: slots, a bounded queue and early refusals.
 //!
 //! ```text
-//! offer -> [deadline too near? refuse] -> [slot free? run] -> [queue full? refuse] -> queued
+//! offer -> [deadline too near? refuse] -> [slot and permit free? run] -> [queue full? refuse] -> queued
 //! finished / tick -> next queued by customer fairness, priority and deadline -> Start
 //!                 -> queued whose deadline can no longer be met -> Refuse (not run)
 //! ```
@@ -9,10 +9,12 @@
 mod estimate;
 mod gate;
 mod lane;
+mod permits;
 mod reserve;
 mod settings;
 
 pub use gate::SlotGate;
+pub use permits::PermitBucket;
 pub use settings::GateSettings;
 
 use std::time::Duration;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod share;
 
 pub use admission::{
-    GateCommand, GateDecision, GateLoad, GateSettings, SlotGate, WorkClass, WorkId,
+    GateCommand, GateDecision, GateLoad, GateSettings, PermitBucket, SlotGate, WorkClass, WorkId,
 };
 pub use crash::{
     CrashCheck, CrashCommand, CrashEvent, CrashEvidence, CrashMessage, CrashRegistry,
--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -268,3 +268,77 @@
         assert!(gate.is_idle());
     }
 }
+
+/// Window of the bound on the requests that a limited backend server gets.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Offers requests at random times to a gate whose rate limit changes, and returns the start times.
+fn starts_under_limits(seed: u64, rates: &[f64]) -> Vec<Duration> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut gate = warm_gate();
+    let mut now = Duration::ZERO;
+    let mut starts = Vec::new();
+    let mut commands = Vec::new();
+    for work in 0..2_000 {
+        now += at(random.random_range(0..60));
+        let rate = rates[usize::try_from(now.as_secs() / 10).unwrap_or(0) % rates.len()];
+        gate.set_rate_limit(now, Some(rate));
+        gate.tick(now, &mut commands);
+        let deadline = now + at(random.random_range(10..2_000));
+        let class = WorkClass {
+            deadline,
+            ..class("dealer", 5, 0)
+        };
+        let mut started: Vec<WorkId> = commands.drain(..).filter_map(started_work).collect();
+        if gate.offer(now, WorkId(work), class) == GateDecision::Run {
+            started.push(WorkId(work));
+        }
+        for work in started {
+            starts.push(now);
+            gate.finished(now, work, &mut commands);
+        }
+        let more: Vec<WorkId> = commands.drain(..).filter_map(started_work).collect();
+        starts.extend(more.iter().map(|_| now));
+        for work in more {
+            gate.released(now, work, &mut commands);
+        }
+    }
+    starts
+}
+
+fn started_work(command: GateCommand) -> Option<WorkId> {
+    match command {
+        GateCommand::Start { work } => Some(work),
+        GateCommand::Refuse { .. } => None,
+    }
+}
+
+// Guards against bursts beyond a rate limit after a pause, after a change of the limit, or from the
+// queue.
+#[test]
+fn no_window_holds_more_starts_than_the_rate_limit() {
+    for seed in 0..50 {
+        for rates in [&[0.0, 1.0][..], &[1.9], &[2.2, 40.0, 0.5], &[15.0, 3.0]] {
+            let starts = starts_under_limits(seed, rates);
+            let highest = rates.iter().copied().fold(0.0, f64::max);
+            let allowed = highest * LIMIT_WINDOW.as_secs_f64() * 1.5 + 5.0;
+            for start in &starts {
+                let window = *start..*start + LIMIT_WINDOW;
+                let count = starts.iter().filter(|at| window.contains(*at)).count();
+                let count = f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+                assert!(count <= allowed, "seed {seed}, {rates:?}: {count} starts");
+            }
+        }
+    }
+}
+
+// Guards against callers that are told to come back before the next permit.
+#[test]
+fn refusal_under_a_rate_limit_names_the_time_of_the_next_permit() {
+    let mut gate = warm_gate();
+    gate.set_rate_limit(at(0), Some(0.5));
+    let decision = gate.offer(at(0), WorkId(1), class("dealer", 5, 1_000));
+    let retry_after = Some(Duration::from_secs(2));
+    let code = RefusalCode::Overloaded;
+    assert_eq!(decision, GateDecision::Refused { code, retry_after });
+}
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -132,6 +132,8 @@
         "Slots in use at the backend servers of this instance.";
     ServerLimit Gauge "server_limit" "requests/1000s" ["service"]
         "Limit that the backend server of this instance names, in requests per thousand seconds; 0 without one.";
+    ServerLimitRefused Counter "server_limit_refused" "requests" ["service"]
+        "Requests refused here because the backend server names a limit. Most of them run elsewhere.";
     QueueLength Gauge "queue_length" "requests" ["service"]
         "Requests waiting for a slot at this instance.";
     QueueWait Timer "queue_wait" "microseconds" ["service"]
