Add a failing test of a server that reports its leaving in answers

A backend server that leaves says so in all its answers, also when its announcement is late or lost. The adapters now decode the header; nothing acts on it yet. In the test the server gets requests for as long as its announcements say that it is ready.

--- a/crates/daemon/src/adapters/backend.rs
+++ b/crates/daemon/src/adapters/backend.rs
@@ -70,6 +70,10 @@
 
 /// Header in which a backend server names the requests per second that it takes.
 const SERVER_LIMIT_HEADER: HeaderName = HeaderName::from_static("x-server-limit");
+/// Header in which a backend server reports that it is leaving.
+const SERVER_LEAVING_HEADER: HeaderName = HeaderName::from_static("x-server-leaving");
+/// Value of a header that reports a condition.
+const TRUE_VALUE: &[u8] = b"1";
 
 /// Protocol for requests to backend servers.
 pub trait BackendAdapter: Debug + Send + Sync {
@@ -102,6 +106,13 @@
         .map_or(LimitNotice::Malformed, LimitNotice::Rate)
 }
 
+/// Reads whether a header reports that the backend server is leaving.
+#[must_use]
+pub fn read_leaving(headers: &HeaderMap, name: &HeaderName) -> bool {
+    let mut values = headers.get_all(name).iter();
+    values.any(|value| value.as_bytes() == TRUE_VALUE)
+}
+
 fn parse_decimal(value: &HeaderValue) -> Option<f64> {
     let text = value.to_str().ok()?.trim();
     let is_decimal = text
@@ -187,6 +198,7 @@
     fn server_notice(&self, headers: &HeaderMap) -> ServerNotice {
         ServerNotice {
             limit: read_limit(headers, &SERVER_LIMIT_HEADER),
+            leaving: read_leaving(headers, &SERVER_LEAVING_HEADER),
         }
     }
 }
--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -23,7 +23,7 @@
 pub use announcement::{AnnouncementAdapter, AnnouncementAnswer, AnnouncementCall};
 pub use backend::{
     BackendAdapter, BackendRequest, NativeBackendAdapter, ReplyExpectation, ReplyVerdict,
-    RequestSpec, build_request_head, read_limit,
+    RequestSpec, build_request_head, read_leaving, read_limit,
 };
 pub use caller::{CallerAdapter, NativeCallerAdapter};
 pub use source::{AdapterFuture, ContractSource, MemberDirectory, MemberEntry, SourceUpdate};
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -294,6 +294,8 @@
 pub struct ServerNotice {
     /// Limit on the requests that the server gets.
     pub limit: LimitNotice,
+    /// Whether the server is leaving.
+    pub leaving: bool,
 }
 
 /// Limit that a backend server reports in the head of an answer.
--- a/crates/engine/tests/session/leaving.rs
+++ b/crates/engine/tests/session/leaving.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use sycamorelink_core::ServiceName;
-use sycamorelink_engine::{LifeId, NodeEvent, UpstreamAnnouncement, UpstreamLife};
+use sycamorelink_engine::{LifeId, NodeEvent, ServerNotice, UpstreamAnnouncement, UpstreamLife};
 use sycamorelink_policy::UpstreamPhase;
 
 use crate::fleet_contract::contract;
-use crate::world::{SessionWorld, name_of, node};
+use crate::world::{BackendScript, SessionWorld, name_of, node};
 
 /// Number of nodes in the fleet.
 const NODES: u8 = 12;
@@ -156,3 +156,40 @@
     world.run_for(ACCEPT_LIMIT);
     assert_eq!(phase_of(&world), Some(UpstreamPhase::Ready));
 }
+
+/// Time after the first answer that reports the leaving from which the server gets no requests.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two requests to the fleet.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Sends requests through all nodes in turn while the server of `a` announces that it is ready.
+fn send_requests(world: &mut SessionWorld, count: u64) {
+    for number in 0..count {
+        let ingress = name_of(u8::try_from(number % u64::from(NODES)).unwrap_or(0));
+        announce(world, ("s", 1_000), 10 + number, UpstreamPhase::Ready);
+        world.call(&ingress, u128::from(number) + 1, "GET", "/prices/1", None);
+        world.run_for(REQUEST_INTERVAL);
+    }
+}
+
+// Guards against requests to a server that reports in its answers that it is leaving, while its
+// announcements are late or do not say so.
+#[test]
+fn server_that_reports_its_leaving_in_answers_gets_no_requests() {
+    let mut world = SessionWorld::start_fleet(NODES, contract(1, "/prices/"));
+    announce(&mut world, ("s", 1_000), 5, UpstreamPhase::Ready);
+    let script = BackendScript {
+        notice: ServerNotice {
+            leaving: true,
+            ..ServerNotice::default()
+        },
+        ..BackendScript::default()
+    };
+    world.scripts.insert(node("a"), script);
+    send_requests(&mut world, 400);
+    let arrivals = &world.arrivals[&node("a")];
+    let drained_at = arrivals[0] + script.time + DRAIN_LIMIT;
+    let late = arrivals.iter().filter(|at| **at > drained_at).count();
+    assert_eq!(late, 0, "of {} requests", arrivals.len());
+    assert_eq!(world.runs.len(), 400);
+}
--- a/crates/engine/tests/session/server_limit.rs
+++ b/crates/engine/tests/session/server_limit.rs
@@ -30,7 +30,10 @@
 /// Sets what the backend server of a node reports in its replies.
 fn set_limit(world: &mut SessionWorld, name: &str, limit: LimitNotice) {
     let script = BackendScript {
-        notice: ServerNotice { limit },
+        notice: ServerNotice {
+            limit,
+            leaving: false,
+        },
         ..BackendScript::default()
     };
     world.scripts.insert(node(name), script);
