Give no requests to a server that reports its leaving in answers

A backend server that leaves says so in all its answers. A request that a client sent after the drain time must not reach it any more, also where its announcement was late or lost.

Cause: the header was not read. A server that names no incarnation is not marked, since nothing would show that the next one is ready.

Failed before: server_that_reports_its_leaving_in_answers_gets_no_requests; the server got 34 requests, some after the drain time.

--- a/crates/engine/src/server_notices.rs
+++ b/crates/engine/src/server_notices.rs
@@ -1,7 +1,8 @@
 //! What the local backend servers report about themselves in their answers.
 //!
 //! ```text
-//! answer ─ head ─▶ ServerNotice ─▶ limit of the server that ran the work ─▶ SlotGate
+//! answer ─ head ─▶ ServerNotice ─┬─▶ limit of the server that ran the work ─▶ SlotGate
+//!                                └─▶ leaving, as if it had announced that
 //! ```
 //!
 //! All work for a server passes the slot gate beside it, whichever node sent it, so a limit that is
@@ -11,6 +12,7 @@
 
 use sycamorelink_core::RefusalCode;
 use sycamorelink_limits::{PermitBucket, WorkId};
+use sycamorelink_policy::UpstreamPhase;
 
 use crate::command::NodeCommand;
 use crate::event::{LimitNotice, ServerNotice};
@@ -63,6 +65,25 @@
             self.on_limit_changed(now, slot, before, out);
         }
         self.renew_limit_replicas(now, slot, out);
+        if notice.leaving {
+            self.on_leaving_notice(now, slot, out);
+        }
+    }
+
+    /// Marks a server as leaving that reports it in its answers. Its announcement may be late or
+    /// lost. A server that names no incarnation is not marked, since nothing would show that the
+    /// next one is ready.
+    fn on_leaving_notice(&mut self, now: Duration, slot: u16, out: &mut Vec<NodeCommand>) {
+        let upstream = self.upstreams.get(&slot);
+        let ready = upstream.filter(|upstream| {
+            upstream.available
+                && upstream.announced.phase != UpstreamPhase::Leaving
+                && upstream.announced.life.is_some()
+        });
+        if let Some(upstream) = ready {
+            let announced = upstream.announced.clone();
+            self.mark_leaving(now, announced, out);
+        }
     }
 
     fn on_limit_changed(
