Refuse work at once where the next permit is far off

Work that a limited server gets waited up to 0.6 of its latency objective for a permit, while another server could start it within milliseconds. It is now refused as not run if no permit comes within 100 ms, and goes elsewhere. The permits are used all the same, since requests keep arriving.

--- a/crates/limits/src/admission/gate.rs
+++ b/crates/limits/src/admission/gate.rs
@@ -11,6 +11,9 @@
 use super::reserve::SlotReserve;
 use super::{GateCommand, GateDecision, GateLoad, GateSettings, WorkClass, WorkId};
 
+/// Longest wait for a permit. Another server can usually start the work within some milliseconds.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(100);
+
 /// Work that holds a slot.
 #[derive(Debug)]
 struct RunningWork {
@@ -116,6 +119,10 @@
             self.start_now(now, class.customer, key, cost);
             return GateDecision::Run;
         }
+        if self.permit_wait(now) > MAX_PERMIT_WAIT {
+            let retry_after = self.retry_after(now, cost);
+            return refused(RefusalCode::Overloaded, Some(retry_after));
+        }
         let wait = self.expected_wait(now, &class.customer, &key, cost);
         let meets_deadline = now + wait + cost <= class.deadline;
         if !meets_deadline || !self.can_queue(now, &class.customer, cost) {
