Report a limited server as full only while it refuses work

The gate reported all slots in use whenever the next request had to wait for a permit, if only for some milliseconds, so that a server with a high limit looked full at half of it. It now does while it would refuse work for the wait; shorter waits are reported as the queue that would take as long.

--- a/crates/limits/src/admission/gate.rs
+++ b/crates/limits/src/admission/gate.rs
@@ -256,11 +256,12 @@
         let in_use = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
         let queued = u32::try_from(self.lanes.len()).unwrap_or(u32::MAX);
         let permit_wait = self.permit_wait(now);
+        let refuses_work = permit_wait > MAX_PERMIT_WAIT;
         GateLoad {
-            in_use: if permit_wait.is_zero() {
-                in_use
-            } else {
+            in_use: if refuses_work {
                 in_use.max(slots)
+            } else {
+                in_use
             },
             slots,
             queued: queued.max(self.runs_within(permit_wait, slots)),
