Check limits and leavings named in answers in the fault soak

Backend servers of the soak report their leaving in their answers, and in sessions from seed 2000 on two of them name a limit of two requests a second for 8 to 11 s. From what they saw, no four seconds may hold more than one and a half times the limit and five requests, and no daemon may send a request to a server 2.5 s after it passed on an answer that reports the leaving.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -72,6 +72,7 @@
             signed: false,
             id: String::new(),
             body: String::new(),
+            leaving: false,
         };
         let (mut length, mut chunked, mut reusable) = (None, false, true);
         loop {
@@ -86,6 +87,7 @@
                 "transfer-encoding" => chunked = value.contains("chunked"),
                 "connection" => reusable = !value.contains("close"),
                 "response-signature" => reply.signed = true,
+                "server-leaving" => reply.leaving = value == "1",
                 "request-id" => value.clone_into(&mut reply.id),
                 _ => {}
             }
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -15,6 +15,11 @@
 /// Time after a caller disconnects in which its request may still reach a backend server: the
 /// guaranteed half second plus half a second of tolerance for a busy machine.
 const DISCONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Window in which a backend server may get one and a half times what its limit allows, and five
+/// requests more.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time from the first naming of a limit until it is checked.
+const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Statuses which state that a request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -51,6 +56,8 @@
         }
     }
     check_drained_backends(state, &mut findings);
+    check_reported_leavings(state, &mut findings);
+    check_limited_backends(state, &mut findings);
     check_route_versions(state, &mut findings);
     findings
 }
@@ -181,6 +188,62 @@
     }
 }
 
+/// Reports a request that reached a backend server although its daemon process had long passed on a
+/// response in which the server reports that it is leaving.
+fn check_reported_leavings(state: &RecordState, findings: &mut Vec<String>) {
+    let mut reported: BTreeMap<((usize, u32), &str), std::time::Instant> = BTreeMap::new();
+    for call in &state.calls {
+        let reply = call.response.as_ref().filter(|reply| reply.leaving);
+        let incarnation = reply.and_then(|reply| reply.body.rsplit_once(" by "));
+        if let Some((_, incarnation)) = incarnation {
+            let first = reported
+                .entry((call.daemon, incarnation))
+                .or_insert(call.ended);
+            *first = call.ended.min(*first);
+        }
+    }
+    for call in &state.calls {
+        for run in state.runs.get(&call.id).into_iter().flatten() {
+            let first = reported.get(&(call.daemon, &*run.incarnation));
+            let late = first.map(|first| call.sent.saturating_duration_since(*first));
+            if late.is_some_and(|late| late > DRAIN_LIMIT) {
+                let (id, incarnation) = (&call.id, &run.incarnation);
+                findings.push(format!(
+                    "DRAIN: {id} reached {incarnation}, which had reported its leaving"
+                ));
+            }
+        }
+    }
+}
+
+/// Reports a backend server that got more requests than the limit that it names allows, from some
+/// time after it first named it until it last did.
+fn check_limited_backends(state: &RecordState, findings: &mut Vec<String>) {
+    let mut limited: BTreeMap<&str, Vec<&ObservedRun>> = BTreeMap::new();
+    for run in state.runs.values().flatten() {
+        if run.limit.is_some() {
+            limited.entry(&run.incarnation).or_default().push(run);
+        }
+    }
+    for (incarnation, mut runs) in limited {
+        runs.sort_by_key(|run| run.at);
+        let rate = runs.iter().filter_map(|run| run.limit).fold(0.0, f64::max);
+        let allowed = rate * LIMIT_WINDOW.as_secs_f64() * 1.5 + 5.0;
+        let checked_from = runs[0].at + LIMIT_SETTLE_TIME;
+        for run in runs.iter().filter(|run| run.at >= checked_from) {
+            let window = run.at..run.at + LIMIT_WINDOW;
+            let count = runs.iter().filter(|other| window.contains(&other.at));
+            let count = f64::from(u32::try_from(count.count()).unwrap_or(u32::MAX));
+            if count > allowed {
+                findings.push(format!(
+                    "LIMIT: {incarnation} got {count} requests in {LIMIT_WINDOW:?}"
+                ));
+                break;
+            }
+        }
+    }
+}
+
 /// Reports a daemon process that served a route version and later returned 404 for it.
 fn check_route_versions(state: &RecordState, findings: &mut Vec<String>) {
     let mut probes: Vec<(&ObservedCall, u64, &ObservedReply)> = state
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,8 +16,8 @@
 //! SOAK_SEEDS=1..=50 cargo test --release --test soak -- --ignored --nocapture
 //! ```
 //!
-//! Seeds from 1000 on run a large session: twelve instances for twenty seconds. `TEST_LOG_DIR`
-//! names a directory for the daemons' logs.
+//! Seeds from 1000 on run a large session: twelve instances for twenty seconds. In seeds from 2000 on
+//! backend servers also limit their requests. `TEST_LOG_DIR` names a directory for the daemons' logs.
 
 mod callers;
 mod invariants;
@@ -44,7 +44,8 @@
 /// - 8 has backend servers that truncate responses. The seed failed while the proxy closed
 ///   connections in order instead of resetting them.
 /// - 26 pauses a daemon while callers abandon their requests.
-const SHORT_SEEDS: [u64; 4] = [3, 4, 8, 26];
+/// - 2002 has backend servers that limit their requests.
+const SHORT_SEEDS: [u64; 5] = [3, 4, 8, 26, 2002];
 
 fn run_seeds<I>(seeds: I)
 where
--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -30,6 +30,8 @@
 const PROXY_OCTET_OFFSET: usize = 100;
 /// Service time of a healthy backend server.
 const SERVICE_TIME: Duration = Duration::from_millis(5);
+/// Requests per second that a limited backend server takes.
+const LIMITED_RATE: f64 = 2.0;
 /// Service time of a slow backend server.
 const SLOW_SERVICE_TIME: Duration = Duration::from_millis(500);
 
@@ -295,6 +297,13 @@
         return ServerAction::Reply(421, identity, Vec::new());
     }
     let mut headers = reply_headers(request);
+    let limit = (mode == BackendMode::Limited).then_some(LIMITED_RATE);
+    if let Some(limit) = limit {
+        headers.push(("Server-Limit".to_owned(), limit.to_string()));
+    }
+    if backend.draining.load(Ordering::Relaxed) {
+        headers.push(("Server-Leaving".to_owned(), "1".to_owned()));
+    }
     if mode == BackendMode::Shedding {
         headers.push(("Not-Executed".to_owned(), "1".to_owned()));
         return ServerAction::Reply(503, headers, Vec::new());
@@ -313,6 +322,7 @@
         at: Instant::now(),
         incarnation: Arc::clone(&incarnation),
         status,
+        limit,
     };
     record.add_run(request.header("request-id"), run);
     thread::sleep(if mode == BackendMode::Slow {
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -10,6 +10,13 @@
 const PLANNED_ONLY_EVERY: u64 = 3;
 /// First seed of the large sessions, which have more instances, more actions and a longer duration.
 const FIRST_LARGE_SEED: u64 = 1000;
+/// First seed of the sessions in which backend servers also limit their requests.
+const FIRST_LIMITED_SEED: u64 = 2000;
+/// Number of backend servers that limit their requests in these sessions.
+const LIMITED_SERVERS: usize = 2;
+/// Shortest and longest time for which a backend server limits its requests, in milliseconds. The
+/// limit is checked over four seconds, from three seconds after the server first names it.
+const LIMITED_MILLIS: std::ops::Range<u64> = 8_000..11_000;
 
 /// Response behavior of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +35,8 @@
     Silent,
     /// Sends half of the response body and resets the connection.
     Truncating,
+    /// Complete responses that limit the requests per second.
+    Limited,
 }
 
 /// Network link that passes through a proxy.
@@ -109,7 +118,9 @@
     pub fn new(seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let planned_only = seed.is_multiple_of(PLANNED_ONLY_EVERY);
-        let (nodes, active, least, most) = if seed >= FIRST_LARGE_SEED {
+        let (nodes, active, least, most) = if seed >= FIRST_LIMITED_SEED {
+            (5, Duration::from_secs(6), 3, 6)
+        } else if seed >= FIRST_LARGE_SEED {
             (12, Duration::from_secs(20), 40, 80)
         } else {
             (5, Duration::from_secs(6), 6, 12)
@@ -125,6 +136,9 @@
                 },
             })
             .collect();
+        if seed >= FIRST_LIMITED_SEED {
+            actions.extend((0..LIMITED_SERVERS).map(|_| limited_server(&mut rng, nodes)));
+        }
         actions.sort_by_key(|planned| planned.at);
         Self {
             nodes,
@@ -135,6 +149,15 @@
     }
 }
 
+fn limited_server(rng: &mut SmallRng, nodes: usize) -> PlannedAction {
+    let time = Duration::from_millis(rng.random_range(LIMITED_MILLIS));
+    let node = rng.random_range(0..nodes);
+    PlannedAction {
+        at: Duration::from_millis(rng.random_range(0..1_000)),
+        action: SoakAction::Backend(node, BackendMode::Limited, time),
+    }
+}
+
 fn planned_action(rng: &mut SmallRng, nodes: usize) -> SoakAction {
     let node = rng.random_range(0..nodes);
     match rng.random_range(0..5) {
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -12,6 +12,8 @@
     pub incarnation: Arc<str>,
     /// Status of the response, 0 when the backend server sends no complete response.
     pub status: u16,
+    /// Requests per second that the response names as the limit of the backend server.
+    pub limit: Option<f64>,
 }
 
 /// Kind of a caller's request.
@@ -48,6 +50,8 @@
     pub signed: bool,
     pub id: String,
     pub body: String,
+    /// Whether the backend server reports in the response that it is leaving.
+    pub leaving: bool,
 }
 
 /// Record shared by the callers, the nodes and the session.
