--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -6,7 +6,7 @@
 //! ```text
 //! any path ──▶ slot or queue ──▶ fault ──▶ work for the service time ──▶ reply
 //! GET  /control/runs   run counts by idempotency key and by request id
-//! POST /control        {"fault":"slow","factor":8} | {"phase":"leaving"} | {"cold_start":{..}}
+//! POST /control        {"fault":"slow","factor":8} | {"phase":"leaving"} | {"cold_start":{..}} | {"limit":2.5}
 //! GET  /health         always healthy
 //! GET  /load           load, delayed by the `load_lag_ms` setting
 //! ```
--- a/crates/standin/src/backend/service.rs
+++ b/crates/standin/src/backend/service.rs
@@ -54,6 +54,9 @@
             .get("fault")
             .map(|_| BackendFault::deserialize(&control));
         let fault = fault.transpose()?;
+        // `null` ends the limit.
+        let limit = control.get("limit").map(Option::<f64>::deserialize);
+        let limit = limit.transpose()?;
         let request = ControlRequest::deserialize(&control)?;
         if let Some(fault) = fault {
             self.state.set_fault(fault);
@@ -64,6 +67,9 @@
         if let Some(cold) = request.cold_start {
             self.state.set_cold_start(cold);
         }
+        if let Some(limit) = limit {
+            self.state.set_limit(limit);
+        }
         Ok(())
     }
 }
@@ -88,7 +94,11 @@
                     Ok(json_reply(StatusCode::OK, &self.state.runs()))
                 }
                 (&Method::POST, "/control") => Ok(self.control(request).await),
-                _ => handle_request(&self.state, request).await,
+                _ => {
+                    let mut reply = handle_request(&self.state, request).await?;
+                    self.state.insert_notices(reply.headers_mut());
+                    Ok(reply)
+                }
             }
         })
     }
--- a/crates/standin/src/backend/settings.rs
+++ b/crates/standin/src/backend/settings.rs
@@ -39,6 +39,8 @@
     pub sigma: f64,
     /// Slowdown after the start; `None` starts at the normal service time.
     pub cold_start: Option<ColdStart>,
+    /// Requests per second that the server names as its limit in its replies; `None` names none.
+    pub limit: Option<f64>,
     /// Seed of the random service times and of the `fail` fault.
     pub seed: u64,
     /// Operators' address of the daemon that receives the announcements; `None` sends none.
@@ -66,6 +68,7 @@
             service_time: Duration::from_millis(20),
             sigma: 0.4,
             cold_start: None,
+            limit: None,
             seed: 1,
             daemon: None,
             daemon_slot: 0,
--- a/crates/standin/src/backend/state.rs
+++ b/crates/standin/src/backend/state.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
@@ -14,6 +15,9 @@
 use super::{BackendFault, BackendPhase, BackendSettings, ColdStart, RunReport};
 use crate::server::ServerCommand;
 
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("x-server-limit");
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("x-server-leaving");
+
 /// Body of the reply to `GET /load`.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub(super) struct LoadReply {
@@ -33,6 +37,7 @@
 struct StateInner {
     fault: BackendFault,
     cold: Option<(ColdStart, Instant)>,
+    limit: Option<f64>,
     rng: SmallRng,
     runs: RunReport,
     reported_load: (LoadReply, Instant),
@@ -61,6 +66,7 @@
         let inner = StateInner {
             fault: BackendFault::Healthy,
             cold: settings.cold_start.map(|cold| (cold, now)),
+            limit: settings.limit,
             rng: SmallRng::seed_from_u64(settings.seed),
             runs: RunReport::default(),
             reported_load: (LoadReply::default(), now),
@@ -108,6 +114,22 @@
         self.inner().cold = Some((cold, Instant::now()));
     }
 
+    pub(super) fn set_limit(&self, limit: Option<f64>) {
+        self.inner().limit = limit;
+    }
+
+    /// Adds the headers in which the server names its limit and reports that it is leaving.
+    pub(super) fn insert_notices(&self, headers: &mut HeaderMap) {
+        let limit = self.inner().limit.map(|limit| limit.to_string());
+        if let Some(value) = limit.and_then(|limit| HeaderValue::from_str(&limit).ok()) {
+            headers.insert(SERVER_LIMIT, value);
+        }
+        let phase = self.phase_sender().as_ref().map(|phase| *phase.borrow());
+        if phase == Some(BackendPhase::Leaving) {
+            headers.insert(SERVER_LEAVING, HeaderValue::from_static("1"));
+        }
+    }
+
     pub(super) fn runs(&self) -> RunReport {
         self.inner().runs.clone()
     }
--- a/crates/standin/tests/backend.rs
+++ b/crates/standin/tests/backend.rs
@@ -215,3 +215,22 @@
     let (head, body) = text.split_once("\r\n\r\n").unwrap();
     format!("{} {body}\n", head.lines().next().unwrap())
 }
+
+#[test]
+fn limit_and_leaving_are_named_in_replies() {
+    run_test(async {
+        let settings = BackendSettings {
+            limit: Some(2.5),
+            ..fast_settings()
+        };
+        let backend = BackendStandin::start(loopback(), settings).await.unwrap();
+        let client = TextClient::new(backend.address());
+        let mut transcript = post_booking(&client, "/bookings?reply_bytes=8", "r1", "k1").await;
+        for control in [r#"{"phase":"leaving"}"#, r#"{"limit":null}"#] {
+            let _ = writeln!(transcript, "-- {control}");
+            transcript += &client.post("/control", control).await;
+            transcript += &post_booking(&client, "/bookings?reply_bytes=8", "r2", "k2").await;
+        }
+        insta::assert_snapshot!(transcript);
+    });
+}
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -74,6 +74,11 @@
             Ok(response) => {
                 let status = response.status().as_u16();
                 let id = response.headers().get("x-request-id").cloned();
+                for name in ["x-server-limit", "x-server-leaving"] {
+                    if let Some(value) = response.headers().get(name) {
+                        let _ = writeln!(transcript, "< {name}: {value:?}");
+                    }
+                }
                 let body = match response.into_body().collect().await {
                     Ok(body) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
                     Err(_) => "(cut short)".to_owned(),
