--- a/crates/contract/src/fleet/account.rs
+++ b/crates/contract/src/fleet/account.rs
@@ -82,37 +82,39 @@
     let mut key_owners: BTreeMap<&ContentDigest, &CustomerName> = BTreeMap::new();
     let empty_key = ContentDigest::of(b"");
     for (index, account) in accounts.iter().enumerate() {
-        let place = format!("accounts[{index}]");
         let name = account.name.as_str();
-        findings.expect(
+        findings.expect_at(
             names.insert(name, index).is_none() && name != FLEET_CUSTOMER,
-            &format!("{place}.name"),
+            format_args!("accounts[{index}].name"),
             "is taken",
         );
-        findings.expect(
+        findings.expect_at(
             is_header_text(name),
-            &format!("{place}.name"),
+            format_args!("accounts[{index}].name"),
             "must be 1 to 256 visible ASCII characters",
         );
-        findings.expect(
+        findings.expect_at(
             account
                 .priority
                 .is_none_or(|priority| priority <= MAX_PRIORITY),
-            &format!("{place}.priority"),
+            format_args!("accounts[{index}].priority"),
             "must be 0 to 9",
         );
-        findings.expect(
+        findings.expect_at(
             account.quota.is_none_or(|quota| quota.is_valid()),
-            &format!("{place}.quota"),
+            format_args!("accounts[{index}].quota"),
             "rate must be above 0 and burst 0 or more",
         );
         for (number, key) in account.keys.iter().enumerate() {
-            let place = format!("{place}.keys[{number}]");
-            findings.expect(!key.ct_eq(&empty_key), &place, "is an empty key");
+            findings.expect_at(
+                !key.ct_eq(&empty_key),
+                format_args!("accounts[{index}].keys[{number}]"),
+                "is an empty key",
+            );
             let owner = key_owners.insert(key, &account.name);
-            findings.expect(
+            findings.expect_at(
                 owner.is_none_or(|owner| *owner == account.name),
-                &place,
+                format_args!("accounts[{index}].keys[{number}]"),
                 "another account has this key",
             );
         }
--- a/crates/contract/src/fleet/mod.rs
+++ b/crates/contract/src/fleet/mod.rs
@@ -107,11 +107,10 @@
         let services: BTreeSet<&ServiceName> = self.services.iter().collect();
         let mut places = BTreeSet::new();
         for (index, route) in self.routes.iter().enumerate() {
-            let place = format!("routes[{index}]");
-            route.check(&place, &services, &mut findings);
-            findings.expect(
+            route.check(index, &services, &mut findings);
+            findings.expect_at(
                 places.insert((&route.host, &route.prefix)),
-                &place,
+                format_args!("routes[{index}]"),
                 "another route has this host and prefix",
             );
         }
@@ -121,37 +120,37 @@
 }
 
 impl FleetRoute {
-    fn check(&self, place: &str, services: &BTreeSet<&ServiceName>, findings: &mut FindingList) {
+    fn check(&self, number: usize, services: &BTreeSet<&ServiceName>, findings: &mut FindingList) {
         let prefix = &self.prefix;
-        findings.expect(
+        findings.expect_at(
             prefix.starts_with('/') && prefix.ends_with('/'),
-            &format!("{place}.prefix"),
+            format_args!("routes[{number}].prefix"),
             "must begin and end with a slash",
         );
-        findings.expect(
+        findings.expect_at(
             !self.deadline.is_zero(),
-            &format!("{place}.deadline"),
+            format_args!("routes[{number}].deadline"),
             "must be above 0s",
         );
-        findings.expect(
+        findings.expect_at(
             self.attempts > 0,
-            &format!("{place}.attempts"),
+            format_args!("routes[{number}].attempts"),
             "must be 1 or more",
         );
-        findings.expect(
+        findings.expect_at(
             self.priority <= MAX_PRIORITY,
-            &format!("{place}.priority"),
+            format_args!("routes[{number}].priority"),
             "must be 0 to 9",
         );
-        findings.expect(
+        findings.expect_at(
             self.parts.iter().any(|part| part.weight > 0),
-            &format!("{place}.parts"),
+            format_args!("routes[{number}].parts"),
             "needs a part with a weight above 0",
         );
         for (index, part) in self.parts.iter().enumerate() {
-            findings.expect(
+            findings.expect_at(
                 services.contains(&part.service),
-                &format!("{place}.parts[{index}].service"),
+                format_args!("routes[{number}].parts[{index}].service"),
                 "is none of `services`",
             );
         }
--- a/crates/core/src/finding.rs
+++ b/crates/core/src/finding.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Adds a finding if `condition` is false. The place is only formatted then, so that documents
+    /// with thousands of items are checked quickly.
+    pub fn expect_at(&mut self, condition: bool, place: fmt::Arguments<'_>, message: &str) {
+        if !condition {
+            self.add(place.to_string(), message);
+        }
+    }
+
     /// Converts the list into a result.
     ///
     /// # Errors
