Do not end a limit because a request was turned away without it

A server that turns a request away may answer without the headers of its other answers. If its last answer with a limit was more than a second old, as it is at limits below one a second, such an answer ended the limit, and the server got its usual share until the next one named it again. Only complete replies end a limit now.

Failed before: declined_request_does_not_end_a_limit.

--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -19,7 +19,7 @@
 use sycamorelink_policy::{LoadHint, SampleKind, UpstreamSample};
 
 use crate::command::NodeCommand;
-use crate::event::{ArrivalKind, WorkEnd, WorkOffer, WorkReport};
+use crate::event::{ArrivalKind, ServerNotice, WorkEnd, WorkOffer, WorkReport};
 use crate::fencing::FenceMark;
 use crate::node::{HandoverState, LocalUpstream, NodeEngine};
 use crate::note::NodeNote;
@@ -340,7 +340,12 @@
         let signature = state.signature();
         let on_turn = state.on_turn;
         self.note_work_end(now, report, out);
-        if let Some(notice) = report.notice {
+        // A server may turn a request away without the headers of its other answers, which says
+        // nothing about its limit.
+        let notice = report
+            .notice
+            .filter(|notice| report.end == WorkEnd::Replied || *notice != ServerNotice::default());
+        if let Some(notice) = notice {
             self.on_server_notice(now, work, notice, out);
         }
         let already_recorded = self
