Request a whole contract only from the peer whose patch failed

After a patch that did not apply, a node requested whole contracts until the next one was in force. Now only the peer whose patch failed is asked for its whole contract, once; other peers are asked for patches as before.

node_with_a_damaged_patch_receives_the_whole_contract now expects the contract after one more round trip, and damages a patch rather than a whole contract.

--- a/crates/engine/src/contract_history.rs
+++ b/crates/engine/src/contract_history.rs
@@ -56,7 +56,7 @@
         if let Some(patch) = self.patches.get(&base) {
             return Some(Ok(patch.clone()));
         }
-        let target = as_parts(self.contracts.back()?);
+        let target = stamped(self.contracts.back()?);
         let base_parts = base.and_then(|base| self.find(base));
         let encoded = FleetPatch::between(base_parts, target).encode();
         if let Ok(patch) = &encoded {
@@ -67,10 +67,10 @@
 
     fn find(&self, stamp: ContractStamp) -> Option<(ContractStamp, &FleetContract)> {
         let mut contracts = self.contracts.iter();
-        contracts.find(|(kept, _)| *kept == stamp).map(as_parts)
+        contracts.find(|(kept, _)| *kept == stamp).map(stamped)
     }
 }
 
-fn as_parts(entry: &(ContractStamp, Arc<FleetContract>)) -> (ContractStamp, &FleetContract) {
+fn stamped(entry: &(ContractStamp, Arc<FleetContract>)) -> (ContractStamp, &FleetContract) {
     (entry.0, &entry.1)
 }
--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -80,7 +80,6 @@
     /// Requests the newest contract from a peer, as a patch to the one in force.
     fn request_patch(&mut self, peer: InstanceId, out: &mut Vec<NodeCommand>) {
         let base = self.fleet.history.current();
-        let base = base.filter(|_| !self.fleet.needs_whole);
         let ask = ContractAsk::FleetPatch { base };
         self.send_peer(peer, PeerMessage::ContractPull { ask }, out);
     }
@@ -246,13 +245,13 @@
         self.send_peer(to, PeerMessage::ContractPage { ask, page }, out);
     }
 
-    /// Applies a patch from a peer. If it does not lead to the contract that it names, the whole
-    /// contract is requested instead.
+    /// Applies the patch that a peer sent from `base`. If it does not lead to the contract that it
+    /// names, the whole contract is requested instead.
     pub(crate) fn on_patch_page(
         &mut self,
         now: Duration,
         from: InstanceId,
-        page: &[u8],
+        (base, page): (Option<ContractStamp>, &[u8]),
         out: &mut Vec<NodeCommand>,
     ) {
         let before = self.fleet.version();
@@ -266,10 +265,10 @@
             Ok(None) => {}
             Err(error) => {
                 reject_contract(before, &error, out);
-                // Asked at once only the first time, so that a peer that sends faulty patches is
-                // not asked in a loop.
-                if !std::mem::replace(&mut self.fleet.needs_whole, true) {
-                    self.request_patch(from, out);
+                // A peer whose whole contract is faulty is not asked again at once.
+                if base.is_some() {
+                    let ask = ContractAsk::FleetPatch { base: None };
+                    self.send_peer(from, PeerMessage::ContractPull { ask }, out);
                 }
             }
         }
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -83,8 +83,6 @@
     pub(crate) current: Option<(Arc<FleetContract>, Arc<FleetTable>)>,
     /// Recent contracts and the patches between them.
     pub(crate) history: ContractHistory,
-    /// Whether a patch did not apply, so that the whole contract is requested.
-    pub(crate) needs_whole: bool,
     /// The newest announced version, and the node that published or announced it.
     pub(crate) head: Option<(u64, NodeId)>,
     /// Versions newer than the one in force, each with the time of its first announcement.
@@ -117,7 +115,6 @@
         Self {
             current: None,
             history: ContractHistory::default(),
-            needs_whole: false,
             head: None,
             missing: BTreeMap::new(),
             pull_rounds: 0,
@@ -276,7 +273,6 @@
         }
         let table = Arc::new(FleetTable::new(&contract));
         self.fleet.history.push(stamp, Arc::clone(&contract));
-        self.fleet.needs_whole = false;
         self.fleet.current = Some((contract, table));
         out.push(NodeCommand::Note(NodeNote::FleetContractAdopted {
             version,
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -305,9 +305,9 @@
                 ask: ContractAsk::FleetPatch { base },
             } => self.on_patch_pull(now, from, base, out),
             PeerMessage::ContractPage {
-                ask: ContractAsk::FleetPatch { .. },
+                ask: ContractAsk::FleetPatch { base },
                 page,
-            } => self.on_patch_page(now, from, &page, out),
+            } => self.on_patch_page(now, from, (base, &page), out),
             PeerMessage::ContractPage {
                 ask: ContractAsk::Fleet { .. },
                 page,
--- a/crates/engine/tests/session/contract_spread.rs
+++ b/crates/engine/tests/session/contract_spread.rs
@@ -9,7 +9,7 @@
 use sycamorelink_engine::{ContractAsk, NodeEngine, NodeEvent, PeerMessage};
 
 use crate::fleet_contract::contract;
-use crate::world::{SessionWorld, name_of, node};
+use crate::world::{LINK_DELAY, SessionWorld, name_of, node};
 
 const FLEET_SIZE: u8 = 24;
 /// Longest allowed time from the publication of a contract until every reachable node applies it.
@@ -198,12 +198,13 @@
     let newest = contract(9, "/rates/");
     let mut world = fleet_with_contract_at_a(2, &newest);
     let from = world.engines()[&node("a")].own_instance();
+    let base = world.engines()[&node("b")].fleet_stamp();
     let message = PeerMessage::ContractPage {
-        ask: ContractAsk::FleetPatch { base: None },
+        ask: ContractAsk::FleetPatch { base },
         page: b"not a patch".to_vec(),
     };
     world.send_event("b", NodeEvent::PeerReceived { from, message });
-    world.run_for(PROPAGATION_LIMIT);
+    world.run_for(LINK_DELAY * 3);
     assert_eq!(
         applied_stamps(&world),
         BTreeSet::from([Some(newest.stamp())])
