Tidy names in the admission gate and the backend adapter

A gate has capacity for a request if a slot and a permit are free. Constants of the adapter stand at its top, and SL5015 says that a contract was not applied, which it may also be because it is faulty.

--- a/crates/daemon/src/adapters/backend.rs
+++ b/crates/daemon/src/adapters/backend.rs
@@ -10,6 +10,13 @@
 
 use crate::callers::{REQUEST_ID_HEADER, TIMEOUT_HEADER};
 
+/// Header in which a backend server names the requests per second that it takes.
+const SERVER_LIMIT_HEADER: HeaderName = HeaderName::from_static("x-server-limit");
+/// Header in which a backend server reports that it is leaving.
+const SERVER_LEAVING_HEADER: HeaderName = HeaderName::from_static("x-server-leaving");
+/// Value of a header that reports a condition.
+const TRUE_VALUE: &[u8] = b"1";
+
 /// Contents of one request to a backend server.
 #[derive(Debug)]
 pub struct RequestSpec {
@@ -68,13 +75,6 @@
     Undelimited,
 }
 
-/// Header in which a backend server names the requests per second that it takes.
-const SERVER_LIMIT_HEADER: HeaderName = HeaderName::from_static("x-server-limit");
-/// Header in which a backend server reports that it is leaving.
-const SERVER_LEAVING_HEADER: HeaderName = HeaderName::from_static("x-server-leaving");
-/// Value of a header that reports a condition.
-const TRUE_VALUE: &[u8] = b"1";
-
 /// Protocol for requests to backend servers.
 pub trait BackendAdapter: Debug + Send + Sync {
     /// Builds the head of a request. Returns `None` when a part of it is malformed.
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -279,7 +279,7 @@
                 applied,
             } => {
                 self.count_contract_bytes(MetricName::ControlBytesReceived, *bytes);
-                let reason = if *applied { "applied" } else { "not newer" };
+                let reason = if *applied { "applied" } else { "not applied" };
                 let fields = EventFields::new().peer(from).version(before);
                 let fields = fields.count(bytes).reason(&reason);
                 self.emit(EventCode::ContractReceived, &fields);
--- a/crates/limits/src/admission/gate.rs
+++ b/crates/limits/src/admission/gate.rs
@@ -197,7 +197,7 @@
     /// Refuses queued work that can no longer meet its deadline, and starts work in free slots.
     pub fn tick(&mut self, now: Duration, out: &mut Vec<GateCommand>) {
         self.refuse_expired(now, out);
-        while self.has_free_slot(now) {
+        while self.has_capacity(now) {
             let max_running = self.reserve.max_running(self.open_slots(now));
             let Some(next) = self.lanes.pop(max_running) else {
                 break;
@@ -302,7 +302,7 @@
     }
 
     /// Returns whether another request may start: a slot and, under a rate limit, a permit is free.
-    fn has_free_slot(&self, now: Duration) -> bool {
+    fn has_capacity(&self, now: Duration) -> bool {
         let permits = self.permits.as_ref();
         self.running.len() < self.open_slots(now) as usize
             && permits.is_none_or(|permits| permits.is_available(now))
@@ -312,7 +312,7 @@
     /// work is eligible for it.
     fn can_start(&self, now: Duration, customer: &CustomerName) -> bool {
         let max_running = self.reserve.max_running(self.open_slots(now));
-        self.has_free_slot(now)
+        self.has_capacity(now)
             && self.lanes.running_of(customer) < max_running
             && !self.lanes.can_pop(max_running)
     }
