--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -10,7 +10,8 @@
 use crate::command::NodeCommand;
 use crate::event::{LifeId, UpstreamAnnouncement};
 use crate::leaving::life_of;
-use crate::node::{CLOSE_GRACE, LocalUpstream, NodeEngine};
+use crate::local_upstream::LocalUpstream;
+use crate::node::{CLOSE_GRACE, NodeEngine};
 use crate::note::NodeNote;
 use crate::request::WorkPhase;
 
@@ -328,38 +329,6 @@
     }
 }
 
-/// Maximum number of ended incarnations remembered per backend server. A delayed announcement
-/// arrives seconds after the end of its sender, and an incarnation lasts longer than that.
-const MAX_ENDED_LIVES: usize = 8;
-
-impl LocalUpstream {
-    /// Returns the current incarnation, or `None` if the server does not announce one.
-    pub(crate) fn life_id(&self) -> Option<LifeId> {
-        let life = self.announced.life.as_ref();
-        life.map(|life| life.id.clone())
-    }
-
-    /// Records that an incarnation ended.
-    pub(crate) fn end_life(&mut self, id: LifeId) {
-        if !self.ended_lives.contains(&id) {
-            self.ended_lives.push(id);
-        }
-        if self.ended_lives.len() > MAX_ENDED_LIVES {
-            self.ended_lives.remove(0);
-        }
-    }
-
-    /// Records the current incarnation as ended if a different one announces itself.
-    fn end_if_replaced(&mut self, announced: &UpstreamAnnouncement) {
-        let next = announced.life.as_ref().map(|life| &life.id);
-        if let Some(id) = self.life_id()
-            && next != Some(&id)
-        {
-            self.end_life(id);
-        }
-    }
-}
-
 /// Returns whether an announcement continues the known incarnation. A backend server that closed
 /// its gate and returns counts as a new one.
 fn is_same_life(known: &LocalUpstream, announced: &UpstreamAnnouncement) -> bool {
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -21,7 +21,8 @@
 use crate::command::NodeCommand;
 use crate::event::{ArrivalKind, ServerNotice, WorkEnd, WorkOffer, WorkReport};
 use crate::fencing::FenceMark;
-use crate::node::{HandoverState, LocalUpstream, NodeEngine};
+use crate::local_upstream::LocalUpstream;
+use crate::node::{HandoverState, NodeEngine};
 use crate::note::NodeNote;
 use crate::request::{WorkPhase, WorkState};
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -42,6 +42,7 @@
 mod joining;
 mod leaving;
 mod limit_records;
+mod local_upstream;
 mod membership;
 mod message;
 mod node;
--- /dev/null
+++ b/crates/engine/src/local_upstream.rs
@@ -0,0 +1,69 @@
+//! State of the backend servers beside a node.
+
+use std::time::Duration;
+
+use sycamorelink_limits::SlotGate;
+use sycamorelink_policy::UpstreamBreaker;
+
+use crate::event::{LifeId, UpstreamAnnouncement};
+use crate::health::ReportedHealth;
+use crate::repeats::RepeatBudgets;
+use crate::server_notices::ServerLimit;
+
+/// Maximum number of ended incarnations remembered per backend server. A delayed announcement
+/// arrives seconds after the end of its sender, and an incarnation lasts longer than that.
+const MAX_ENDED_LIVES: usize = 8;
+
+/// State of a backend server beside this node.
+#[derive(Debug)]
+pub(crate) struct LocalUpstream {
+    pub(crate) announced: UpstreamAnnouncement,
+    pub(crate) gate: SlotGate,
+    pub(crate) breaker: UpstreamBreaker,
+    /// Budget of repeats that the server may be given; `None` before the first repeat.
+    pub(crate) repeats: Option<RepeatBudgets>,
+    /// Limit on the requests that the server gets, as last reported by it.
+    pub(crate) limit: Option<ServerLimit>,
+    /// Whether the server has answered this incarnation of the node.
+    pub(crate) has_answered: bool,
+    /// Health last reported to the nodes of callers.
+    pub(crate) reported_health: Option<ReportedHealth>,
+    /// Time at which the announcement expires unless renewed.
+    pub(crate) expires_at: Duration,
+    /// Time from which a leaving backend server accepts no more work.
+    pub(crate) closes_at: Option<Duration>,
+    /// Number of incarnations of the backend server so far.
+    pub(crate) life: u64,
+    /// Whether the server may be given work: announced, and neither withdrawn nor crashed.
+    pub(crate) available: bool,
+    /// Incarnations that ended, oldest first; at most [`MAX_ENDED_LIVES`].
+    pub(crate) ended_lives: Vec<LifeId>,
+}
+
+impl LocalUpstream {
+    /// Returns the current incarnation, or `None` if the server does not announce one.
+    pub(crate) fn life_id(&self) -> Option<LifeId> {
+        let life = self.announced.life.as_ref();
+        life.map(|life| life.id.clone())
+    }
+
+    /// Records that an incarnation ended.
+    pub(crate) fn end_life(&mut self, id: LifeId) {
+        if !self.ended_lives.contains(&id) {
+            self.ended_lives.push(id);
+        }
+        if self.ended_lives.len() > MAX_ENDED_LIVES {
+            self.ended_lives.remove(0);
+        }
+    }
+
+    /// Records the current incarnation as ended if a different one announces itself.
+    pub(crate) fn end_if_replaced(&mut self, announced: &UpstreamAnnouncement) {
+        let next = announced.life.as_ref().map(|life| &life.id);
+        if let Some(id) = self.life_id()
+            && next != Some(&id)
+        {
+            self.end_life(id);
+        }
+    }
+}
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -10,26 +10,23 @@
 use sycamorelink_guard::{GuardIdentity, GuardNode};
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
-    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ShareMember, ShareNode, SlotGate,
-    WorkId,
+    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ShareMember, ShareNode, WorkId,
 };
-use sycamorelink_policy::{CallRates, ServicePool, UpstreamBreaker};
+use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
 
 use crate::command::NodeCommand;
 use crate::discovery::DiscoveryState;
 use crate::dispatch::OVERDUE_AVOIDANCE;
-use crate::event::{LifeId, NodeEvent, UpstreamAnnouncement};
+use crate::event::NodeEvent;
 use crate::fencing::FenceMark;
 use crate::fleet::{ContractMode, FleetState};
-use crate::health::ReportedHealth;
 use crate::joining::JoinState;
 use crate::leaving::LeavingRecords;
 use crate::limit_records::LimitRecords;
+use crate::local_upstream::LocalUpstream;
 use crate::quotas::QuotaState;
-use crate::repeats::RepeatBudgets;
 use crate::request::{RequestState, WorkState};
-use crate::server_notices::ServerLimit;
 use crate::settings::EngineSettings;
 
 /// Interval of the periodic work.
@@ -54,32 +51,6 @@
     pub(crate) hedges: RetryBudget,
 }
 
-/// State of a backend server beside this node.
-#[derive(Debug)]
-pub(crate) struct LocalUpstream {
-    pub(crate) announced: UpstreamAnnouncement,
-    pub(crate) gate: SlotGate,
-    pub(crate) breaker: UpstreamBreaker,
-    /// Budget of repeats that the server may be given; `None` before the first repeat.
-    pub(crate) repeats: Option<RepeatBudgets>,
-    /// Limit on the requests that the server gets, as last reported by it.
-    pub(crate) limit: Option<ServerLimit>,
-    /// Whether the server has answered this incarnation of the node.
-    pub(crate) has_answered: bool,
-    /// Health last reported to the nodes of callers.
-    pub(crate) reported_health: Option<ReportedHealth>,
-    /// Time at which the announcement expires unless renewed.
-    pub(crate) expires_at: Duration,
-    /// Time from which a leaving backend server accepts no more work.
-    pub(crate) closes_at: Option<Duration>,
-    /// Number of incarnations of the backend server so far.
-    pub(crate) life: u64,
-    /// Whether the server may be given work: announced, and neither withdrawn nor crashed.
-    pub(crate) available: bool,
-    /// Incarnations that ended, oldest first; at most `MAX_ENDED_LIVES`.
-    pub(crate) ended_lives: Vec<LifeId>,
-}
-
 /// Purpose of a request timer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum TimerPurpose {
--- a/crates/engine/src/server_notices.rs
+++ b/crates/engine/src/server_notices.rs
@@ -18,7 +18,8 @@
 use crate::event::{LimitNotice, ServerNotice};
 use crate::executor::upstream_id;
 use crate::limit_records::RENEWAL_INTERVAL;
-use crate::node::{LocalUpstream, NodeEngine};
+use crate::local_upstream::LocalUpstream;
+use crate::node::NodeEngine;
 use crate::note::NodeNote;
 
 /// Time for which a limit stays in force after the last answer that named it. Answers of concurrent
