--- a/crates/engine/tests/session/repeat_bound.rs
+++ b/crates/engine/tests/session/repeat_bound.rs
@@ -1,12 +1,10 @@
 //! The fleet-wide bound on repeats while servers and daemons restart or are partitioned.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-use sycamorelink_core::{RequestId, ServiceName};
-use sycamorelink_engine::{LifeId, NodeEvent, UpstreamAnnouncement, UpstreamLife, WorkEnd};
-use sycamorelink_policy::UpstreamPhase;
+use sycamorelink_core::RequestId;
+use sycamorelink_engine::WorkEnd;
 
 use crate::fleet_contract::{contract_with_repeats, fail_backends_of};
 use crate::world::{BackendScript, SessionWorld, name_of, node};
@@ -47,19 +45,7 @@
 
 /// Announces a new incarnation of a node's backend server under a new name.
 fn restart_backend(world: &mut SessionWorld, name: &str, round: u32) {
-    let id = LifeId {
-        name: Arc::from(format!("{name}-{round}")),
-        started: None,
-    };
-    let announced = UpstreamAnnouncement {
-        slot: 0,
-        service: ServiceName::new("orders"),
-        slots: 5,
-        phase: UpstreamPhase::Ready,
-        life: Some(UpstreamLife { id, order: 1 }),
-        warm_up: None,
-    };
-    world.send_event(name, NodeEvent::UpstreamAnnounced(announced));
+    world.announce_life(name, &format!("{name}-{round}"), 1);
 }
 
 /// Sends requests to the nodes and records when they are repeated.
--- a/crates/engine/tests/session/server_limit.rs
+++ b/crates/engine/tests/session/server_limit.rs
@@ -1,13 +1,9 @@
 //! Backend servers that limit the requests that they get.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use sycamorelink_core::{RequestId, ServiceName};
-use sycamorelink_engine::{
-    LifeId, LimitNotice, NodeEvent, ServerNotice, UpstreamAnnouncement, UpstreamLife,
-};
-use sycamorelink_policy::UpstreamPhase;
+use sycamorelink_core::RequestId;
+use sycamorelink_engine::{LimitNotice, ServerNotice};
 
 use crate::fleet_contract::{contract, fail_backends_of};
 use crate::world::{BackendScript, SessionWorld, name_of, node};
@@ -156,36 +152,19 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
-/// Announces a named incarnation of a node's backend server.
-fn announce_life(world: &mut SessionWorld, name: &str, order: u64) {
-    let id = LifeId {
-        name: Arc::from(format!("server-{name}")),
-        started: None,
-    };
-    let announced = UpstreamAnnouncement {
-        slot: 0,
-        service: ServiceName::new("orders"),
-        slots: 5,
-        phase: UpstreamPhase::Ready,
-        life: Some(UpstreamLife { id, order }),
-        warm_up: None,
-    };
-    world.send_event(name, NodeEvent::UpstreamAnnounced(announced));
-}
-
 // Guards against a burst after the daemon beside a limited server restarts, since the other nodes
 // keep sending at their pace.
 #[test]
 fn limit_is_known_to_the_next_incarnation_of_the_daemon() {
     let mut world = limited_fleet(LimitNotice::Rate(LIMIT_RATE));
-    announce_life(&mut world, "a", 1);
+    world.announce_life("a", "server-a", 1);
     let next = send_requests(&mut world, 1, Duration::from_secs(6));
     let restarted_at = world.now();
     world.kill("a");
     world.run_for(Duration::from_millis(500));
     world.start_node(0, 2);
     world.run_for(Duration::from_millis(100));
-    announce_life(&mut world, "a", 2);
+    world.announce_life("a", "server-a", 2);
     world.run_for(Duration::from_millis(600));
     // The first answer takes long, so that it does not name the limit in time.
     let script = BackendScript {
--- a/crates/engine/tests/session/world/actions.rs
+++ b/crates/engine/tests/session/world/actions.rs
@@ -1,5 +1,7 @@
 //! Actions of a session on the nodes, the log and the contract.
 
+use sycamorelink_engine::{LifeId, UpstreamLife};
+
 use super::*;
 
 impl SessionWorld {
@@ -8,6 +10,23 @@
         self.feed(node(name), event);
     }
 
+    /// Announces an incarnation of a node's backend server under a name.
+    pub fn announce_life(&mut self, name: &str, life: &str, order: u64) {
+        let id = LifeId {
+            name: Arc::from(life),
+            started: None,
+        };
+        let announced = UpstreamAnnouncement {
+            slot: 0,
+            service: ServiceName::new("orders"),
+            slots: 5,
+            phase: UpstreamPhase::Ready,
+            life: Some(UpstreamLife { id, order }),
+            warm_up: None,
+        };
+        self.send_event(name, NodeEvent::UpstreamAnnounced(announced));
+    }
+
     /// Makes the log reachable or unreachable for all nodes.
     pub fn set_log_reachable(&mut self, reachable: bool) {
         self.log_reachable = reachable;
