Name the headers and events of limits in the product's own terms

The native protocol between daemon and backend server has x-backend-limit and x-backend-leaving; the events are rate-limit-named and rate-limit-ended.

--- a/crates/daemon/src/adapters/backend.rs
+++ b/crates/daemon/src/adapters/backend.rs
@@ -11,9 +11,9 @@
 use crate::callers::{REQUEST_ID_HEADER, TIMEOUT_HEADER};
 
 /// Header in which a backend server names the requests per second that it takes.
-const SERVER_LIMIT_HEADER: HeaderName = HeaderName::from_static("x-server-limit");
+const SERVER_LIMIT_HEADER: HeaderName = HeaderName::from_static("x-backend-limit");
 /// Header in which a backend server reports that it is leaving.
-const SERVER_LEAVING_HEADER: HeaderName = HeaderName::from_static("x-server-leaving");
+const SERVER_LEAVING_HEADER: HeaderName = HeaderName::from_static("x-backend-leaving");
 /// Value of a header that reports a condition.
 const TRUE_VALUE: &[u8] = b"1";
 
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -365,8 +365,8 @@
         let fields = EventFields::new().upstream(id).service(service);
         let fields = fields.duration(&duration);
         match &rate {
-            Some(rate) => self.emit(EventCode::ServerLimited, &fields.limit(rate)),
-            None => self.emit(EventCode::ServerUnlimited, &fields),
+            Some(rate) => self.emit(EventCode::RateLimitNamed, &fields.limit(rate)),
+            None => self.emit(EventCode::RateLimitEnded, &fields),
         }
     }
 
--- a/crates/daemon/tests/server_limits.rs
+++ b/crates/daemon/tests/server_limits.rs
@@ -3,7 +3,7 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use sycamorelink_daemon::adapters::read_limit;
 
-const NAME: HeaderName = HeaderName::from_static("x-server-limit");
+const NAME: HeaderName = HeaderName::from_static("x-backend-limit");
 
 fn describe(values: &[&str]) -> String {
     let mut headers = HeaderMap::new();
--- a/crates/standin/src/backend/state.rs
+++ b/crates/standin/src/backend/state.rs
@@ -15,8 +15,8 @@
 use super::{BackendFault, BackendPhase, BackendSettings, ColdStart, RunReport};
 use crate::server::ServerCommand;
 
-const SERVER_LIMIT: HeaderName = HeaderName::from_static("x-server-limit");
-const SERVER_LEAVING: HeaderName = HeaderName::from_static("x-server-leaving");
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("x-backend-limit");
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("x-backend-leaving");
 
 /// Body of the reply to `GET /load`.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -74,7 +74,7 @@
             Ok(response) => {
                 let status = response.status().as_u16();
                 let id = response.headers().get("x-request-id").cloned();
-                for name in ["x-server-limit", "x-server-leaving"] {
+                for name in ["x-backend-limit", "x-backend-leaving"] {
                     if let Some(value) = response.headers().get(name) {
                         let _ = writeln!(transcript, "< {name}: {value:?}");
                     }
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -151,8 +151,8 @@
     3014 HealthContradicted Info "health-contradicted" "the health endpoint and real requests disagree";
     3015 WorkHeldOff Info "work-held-off" "work that must not repeat is held off a backend server that may be failing";
     3016 WorkReleased Info "work-released" "a backend server takes all work again";
-    3017 ServerLimited Info "server-limited" "a backend server limits the requests that it gets";
-    3018 ServerUnlimited Info "server-unlimited" "a backend server no longer limits the requests that it gets";
+    3017 RateLimitNamed Info "rate-limit-named" "a backend server limits the requests that it gets";
+    3018 RateLimitEnded Info "rate-limit-ended" "a backend server no longer limits the requests that it gets";
 
     4001 KeyJoined Info "key-joined" "a resend of a running key waits for the first send";
     4002 KeyReplayed Debug "key-replayed" "a resend got the reply of the first send";
--- a/crates/telemetry/src/event/entries/detection.rs
+++ b/crates/telemetry/src/event/entries/detection.rs
@@ -134,7 +134,7 @@
         action: "Nothing.",
     },
     EventEntry {
-        code: EventCode::ServerLimited,
+        code: EventCode::RateLimitNamed,
         reserved: false,
         meaning: "The backend server beside this daemon names in its answers how many requests a \
                 second it takes from all instances together. `limit` is that number and `duration` \
@@ -142,7 +142,7 @@
         action: "Look for the reason at the server. `server_limit` shows the limit in force.",
     },
     EventEntry {
-        code: EventCode::ServerUnlimited,
+        code: EventCode::RateLimitEnded,
         reserved: false,
         meaning: "The answers of the backend server beside this daemon have named no limit for a \
                 second. `duration` is the time since it first named one.",
