Request contracts as JSON only while older builds ask for them

Every fourth question of a node that missed a version asked for JSON, in case the peer was of an older build; a node whose questions get no answer asks often.

Older builds ask each second for the contract in JSON, and newer ones did not until now unless a question stayed unanswered. A node therefore asks for JSON only if it got such a question within the last minute.

--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -34,9 +34,12 @@
 /// version from gossip, so the ancestors in the tree and other peers are asked first to spread the
 /// load.
 const ORIGIN_PULL_ROUND: u32 = 2;
-/// Pull rounds between two that request the contract as JSON. A node of an older build cannot read
-/// requests for patches.
+/// Pull rounds between two that request the contract as JSON while the fleet has nodes of an older
+/// build, which cannot read requests for patches.
 const JSON_PULL_PERIOD: u32 = 4;
+/// Time for which a request for JSON shows that the fleet has nodes of an older build. Each of these
+/// sends two a second. JSON is many times larger than a patch, so it is not requested otherwise.
+const OLDER_BUILD_RETENTION: Duration = Duration::from_mins(1);
 
 impl NodeEngine {
     /// Records a version that gossip announced.
@@ -106,7 +109,12 @@
             return;
         }
         self.next_pull = now + PULL_RETRY_DELAY;
-        let uses_json = self.fleet.pull_rounds.is_multiple_of(JSON_PULL_PERIOD);
+        let has_older_builds = self
+            .fleet
+            .json_pulled_at
+            .is_some_and(|at| now < at + OLDER_BUILD_RETENTION);
+        let is_json_round = self.fleet.pull_rounds.is_multiple_of(JSON_PULL_PERIOD);
+        let uses_json = has_older_builds && is_json_round;
         for peer in peers {
             if uses_json {
                 let ask = ContractAsk::Fleet { newer_than: own };
@@ -196,6 +204,7 @@
         newer_than: u64,
         out: &mut Vec<NodeCommand>,
     ) {
+        self.fleet.json_pulled_at = Some(now);
         if !self.has_newer_contract(now, from, newer_than, out) {
             return;
         }
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -87,6 +87,8 @@
     pub(crate) head: Option<(u64, NodeId)>,
     /// Versions newer than the one in force, each with the time of its first announcement.
     missing: BTreeMap<u64, Duration>,
+    /// When a peer last requested the contract as JSON.
+    pub(crate) json_pulled_at: Option<Duration>,
     /// Number of pull rounds since this node fell behind.
     pub(crate) pull_rounds: u32,
     /// The newest version announced by a node of the same failure domain and requested from it.
@@ -117,6 +119,7 @@
             history: ContractHistory::default(),
             head: None,
             missing: BTreeMap::new(),
+            json_pulled_at: None,
             pull_rounds: 0,
             domain_announced: 0,
             other_domain_holder: None,
--- a/crates/engine/tests/session/contract_spread.rs
+++ b/crates/engine/tests/session/contract_spread.rs
@@ -255,9 +255,33 @@
     let newest = contract(9, "/rates/");
     let mut world = fleet_with_contract_at_a(4, &newest);
     world.network.without_patches = ["a", "c"].map(node).into();
+    // Nodes of the older build request JSON periodically.
+    for (older, newer) in [("a", "b"), ("c", "d")] {
+        let from = world.engines()[&node(older)].own_instance();
+        let ask = ContractAsk::Fleet { newer_than: 3 };
+        let message = PeerMessage::ContractPull { ask };
+        world.send_event(newer, NodeEvent::PeerReceived { from, message });
+    }
     world.run_for(PROPAGATION_LIMIT * 2);
     assert_eq!(
         applied_stamps(&world),
         BTreeSet::from([Some(newest.stamp())])
     );
 }
+
+// Guards against whole contracts as JSON, which fill thin links, from peers that all read patches. A
+// node whose requests are lost asks again and again.
+#[test]
+fn json_is_not_requested_in_a_fleet_without_older_builds() {
+    let mut world = SessionWorld::start_fleet_in(3, FLEET_SIZE, contract(3, "/prices/"));
+    world.run_for(Duration::from_secs(4));
+    let mut names = (0..FLEET_SIZE).map(name_of);
+    let is_follower = |name: &String| world.followers.contains(&node(name));
+    let unheard = names.find(|name| !is_follower(name)).expect("a node");
+    for other in (0..FLEET_SIZE).map(name_of) {
+        world.network.cuts.insert((node(&unheard), node(&other)));
+    }
+    let unheard = BTreeSet::from([unheard]);
+    late_contracts(&mut world, &unheard, &unheard);
+    assert_eq!(world.json_pulls, 0);
+}
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -130,6 +130,8 @@
     uplinks_busy_until: BTreeMap<NodeId, Duration>,
     /// The same for the link of each node that receives them.
     downlinks_busy_until: BTreeMap<NodeId, Duration>,
+    /// Number of requests for the fleet contract as JSON.
+    pub json_pulls: u32,
     /// Number of contract requests that each node received.
     pub pulls: BTreeMap<NodeId, u32>,
     /// Nodes that follow the source of the fleet contract.
@@ -233,6 +235,7 @@
             network: NetworkFaults::default(),
             uplinks_busy_until: BTreeMap::new(),
             downlinks_busy_until: BTreeMap::new(),
+            json_pulls: 0,
             pulls: BTreeMap::new(),
             followers: BTreeSet::new(),
             domains,
@@ -526,6 +529,12 @@
             }
             NodeCommand::CancelAttempt { attempt } => self.cancel(id, attempt),
             NodeCommand::SendPeer { to, message, .. } => {
+                if let PeerMessage::ContractPull {
+                    ask: ContractAsk::Fleet { .. },
+                } = message
+                {
+                    self.json_pulls += 1;
+                }
                 if matches!(message, PeerMessage::ContractPull { .. }) {
                     *self.pulls.entry(to.node).or_default() += 1;
                 }
