Name the peer of an unreadable contract in the log again

The reasons of SL5002 for a contract that cannot be encoded, and for one from a peer that cannot be read, had become one text without the peer. They read as before.

--- a/crates/contract/src/fleet/patch.rs
+++ b/crates/contract/src/fleet/patch.rs
@@ -20,8 +20,8 @@
 use crate::digest::ContentDigest;
 use crate::terms::{DetectionLeaning, RetryBudget};
 
-/// Compression level of patches. Higher levels take several times the processor time and save a few
-/// percent, since names and paths are mostly random.
+/// Compression level of patches. Higher levels take more processor time and save nothing, since names
+/// and paths are mostly random.
 const COMPRESSION_LEVEL: i32 = 1;
 /// Maximum size of a decompressed patch, in bytes.
 const MAX_PATCH_BYTES: usize = 8 << 20;
--- a/crates/engine/src/distribution.rs
+++ b/crates/engine/src/distribution.rs
@@ -191,7 +191,7 @@
         let ask = ContractAsk::FleetPatch { base };
         match self.fleet.history.patch_from(base) {
             Some(Ok(patch)) => self.send_contract(from, newer_than, ask, patch, out),
-            Some(Err(error)) => reject_contract(self.fleet.version(), &error, out),
+            Some(Err(error)) => reject_unencoded(self.fleet.version(), &error, out),
             None => {}
         }
     }
@@ -216,7 +216,7 @@
                 let ask = ContractAsk::Fleet { newer_than };
                 self.send_contract(from, newer_than, ask, page, out);
             }
-            Err(error) => reject_contract(contract.version, &error, out),
+            Err(error) => reject_unencoded(contract.version, &error, out),
         }
     }
 
@@ -273,7 +273,7 @@
             }
             Ok(None) => {}
             Err(error) => {
-                reject_contract(before, &error, out);
+                reject_unreadable(before, from, &error, out);
                 // A peer whose whole contract is faulty is not asked again at once.
                 if base.is_some() {
                     let ask = ContractAsk::FleetPatch { base: None };
@@ -307,7 +307,7 @@
         let before = self.fleet.version();
         match serde_json::from_slice::<FleetContract>(page) {
             Ok(contract) => self.apply_contract(now, Arc::new(contract), Some(from), out),
-            Err(error) => reject_contract(before, &error, out),
+            Err(error) => reject_unreadable(before, from, &error, out),
         }
         self.note_received(from, before, page.len(), out);
     }
@@ -331,9 +331,21 @@
 /// A contract, its stamp, and the base of the patch that resulted in it.
 type PatchedContract = (FleetContract, ContractStamp, Option<ContractStamp>);
 
-fn reject_contract(version: u64, error: &dyn std::error::Error, out: &mut Vec<NodeCommand>) {
+fn reject_unencoded(version: u64, error: &dyn std::error::Error, out: &mut Vec<NodeCommand>) {
     out.push(NodeCommand::Note(NodeNote::ContractRejected {
         offset: version,
-        reason: format!("a contract for or from a peer: {error}"),
+        reason: format!("the contract cannot be encoded for a peer: {error}"),
+    }));
+}
+
+fn reject_unreadable(
+    version: u64,
+    from: InstanceId,
+    error: &dyn std::error::Error,
+    out: &mut Vec<NodeCommand>,
+) {
+    out.push(NodeCommand::Note(NodeNote::ContractRejected {
+        offset: version,
+        reason: format!("a contract from {from} cannot be read: {error}"),
     }));
 }
