--- a/crates/engine/src/local_upstream.rs
+++ b/crates/engine/src/local_upstream.rs
@@ -7,6 +7,7 @@
 
 use crate::event::{LifeId, UpstreamAnnouncement};
 use crate::health::ReportedHealth;
+use crate::leaving::life_of;
 use crate::repeats::RepeatBudgets;
 use crate::server_notices::ServerLimit;
 
@@ -59,7 +60,7 @@
 
     /// Records the current incarnation as ended if a different one announces itself.
     pub(crate) fn end_if_replaced(&mut self, announced: &UpstreamAnnouncement) {
-        let next = announced.life.as_ref().map(|life| &life.id);
+        let next = life_of(announced);
         if let Some(id) = self.life_id()
             && next != Some(&id)
         {
