--- a/crates/daemon/src/settings/sections.rs
+++ b/crates/daemon/src/settings/sections.rs
@@ -8,7 +8,9 @@
 use serde_json::{Value, json};
 use sycamorelink_core::{FindingList, nearest_name};
 use sycamorelink_guard::GuardSettings;
-use sycamorelink_limits::{CrashSettings, GateSettings, QuotaSettings, ShareSettings};
+use sycamorelink_limits::{
+    CrashSettings, GateSettings, OverloadSettings, QuotaSettings, ShareSettings,
+};
 use sycamorelink_policy::PolicySettings;
 use sycamorelink_roster::RosterSettings;
 
@@ -16,7 +18,7 @@
 use super::model::DaemonSettings;
 
 /// Names of the parts of the section `limits`.
-const LIMIT_PARTS: [&str; 4] = ["share", "crash", "gate", "quota"];
+const LIMIT_PARTS: [&str; 5] = ["share", "crash", "gate", "quota", "overload"];
 
 /// Returns the defaults of every section as one JSON object.
 #[must_use]
@@ -27,6 +29,7 @@
             "crash": CrashSettings::default(),
             "gate": GateSettings::default(),
             "quota": QuotaSettings::default(),
+            "overload": OverloadSettings::default(),
         },
         "guard": GuardSettings::default(),
         "roster": RosterSettings::default(),
@@ -67,6 +70,10 @@
     if let Some(quota) = part("quota") {
         check_part::<QuotaSettings, _>("limits.quota", quota, QuotaSettings::validate, findings);
     }
+    if let Some(overload) = part("overload") {
+        let validate = OverloadSettings::validate;
+        check_part::<OverloadSettings, _>("limits.overload", overload, validate, findings);
+    }
 }
 
 fn unknown_part(name: &str) -> String {
--- a/crates/daemon/src/startup.rs
+++ b/crates/daemon/src/startup.rs
@@ -112,6 +112,9 @@
     if let Some(quota) = settings.limits.get("quota") {
         engine.quota = section("limits.quota", quota)?;
     }
+    if let Some(overload) = settings.limits.get("overload") {
+        engine.overload = section("limits.overload", overload)?;
+    }
     // The roster fills datagrams up to this size, before the wire protocol adds its prefix and MAC.
     let datagram = &mut engine.roster.datagram_bytes;
     *datagram = (*datagram).min(DATAGRAM_PAYLOAD);
--- a/crates/daemon/src/work/attempt.rs
+++ b/crates/daemon/src/work/attempt.rs
@@ -6,12 +6,12 @@
 
 use serde::{Deserialize, Serialize};
 use sycamorelink_core::{InstanceId, RunState};
-use sycamorelink_engine::{ArrivalKind, AttemptOrder, NodeEvent, WorkOffer};
+use sycamorelink_engine::{ArrivalKind, AttemptOrder, NodeEvent, WorkOffer, WorkTerms};
 use sycamorelink_guard::DispatchTicket;
 use sycamorelink_policy::{LoadHint, SampleKind};
 use sycamorelink_wire::{
-    BodySender, FailureKind, LoadReport, ReplyOpening, ReplyReceiver, WireError, WorkFailed,
-    WorkHead, WorkRefused, encode_payload,
+    BodySender, CodecError, FailureKind, LoadReport, ReplyOpening, ReplyReceiver, WireError,
+    WorkFailed, WorkHead, WorkRefused, decode_payload, encode_payload,
 };
 use tokio::sync::oneshot;
 
@@ -48,6 +48,34 @@
     pub arrival: ArrivalKind,
 }
 
+impl WorkExtras {
+    /// Encodes the extras, followed by the terms for overload control if there are any.
+    ///
+    /// Builds without overload control reject bytes after the extras, so the terms are left out
+    /// where it is off.
+    fn encode(&self, terms: Option<&WorkTerms>) -> Result<Vec<u8>, CodecError> {
+        match terms {
+            Some(terms) => encode_payload(&(self, terms)),
+            None => encode_payload(self),
+        }
+    }
+
+    /// Decodes the extras, and the terms if there are any.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are neither extras nor extras followed by terms.
+    pub fn decode(bytes: &[u8]) -> Result<(Self, Option<WorkTerms>), CodecError> {
+        match decode_payload::<Self>(bytes) {
+            Err(CodecError::Trailing(_)) => {
+                let (extras, terms) = decode_payload::<(Self, WorkTerms)>(bytes)?;
+                Ok((extras, Some(terms)))
+            }
+            extras => Ok((extras?, None)),
+        }
+    }
+}
+
 /// Runs one attempt on this node or on a peer.
 pub async fn run_attempt(context: WorkContext, task: AttemptTask) {
     match task.order.address {
@@ -88,6 +116,7 @@
         patience: order.patience,
         kind: order.kind,
         arrival: order.arrival,
+        terms: order.terms.clone(),
     }
 }
 
@@ -174,7 +203,7 @@
         time_left: order.time_left,
         priority: order.priority,
         signature: task.signature,
-        guard: encode_payload(&extras).ok(),
+        guard: extras.encode(order.terms.as_ref()).ok(),
         body_length: task.body_length,
     }
 }
--- a/crates/daemon/src/work/serving.rs
+++ b/crates/daemon/src/work/serving.rs
@@ -5,13 +5,13 @@
 
 use bytes::Bytes;
 use sycamorelink_core::{AttemptId, InstanceId, RefusalCode, RequestRefusal, RunState};
-use sycamorelink_engine::{NodeEvent, PeerMessage, WorkOffer};
+use sycamorelink_engine::{NodeEvent, PeerMessage, WorkOffer, WorkTerms};
 use sycamorelink_policy::SampleKind;
 use sycamorelink_telemetry::{EventCode, EventFields};
 use sycamorelink_wire::{
     BodyReceiver as WireBody, ConnectError, FailureKind, FrameError, HandlerFuture,
     HandshakeRefusal, PeerHandler, PeerIdentity, ReplyHead as WireHead, ReplySender, WireError,
-    WireSettings, WorkExchange, WorkFailed, WorkHead, WorkRefused, decode_payload, serve_listener,
+    WireSettings, WorkExchange, WorkFailed, WorkHead, WorkRefused, serve_listener,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -100,8 +100,8 @@
     } = exchange;
     let attempt = head.attempt;
     let slot = head.upstream.slot;
-    let extras = head.guard.as_deref().map(decode_payload::<WorkExtras>);
-    let Some(Ok(extras)) = extras else {
+    let extras = head.guard.as_deref().map(WorkExtras::decode);
+    let Some(Ok((extras, terms))) = extras else {
         refuse_malformed(reply, attempt).await;
         return;
     };
@@ -109,7 +109,7 @@
     let (body_sender, body_receiver) = mpsc::channel(BODY_DEPTH);
     let (cancel, cancelled) = oneshot::channel();
     let reply_id_header = extras.reply_id_header.clone();
-    let offer = work_offer(&context, peer, &head, extras);
+    let offer = work_offer(&context, peer, &head, (extras, terms));
     let task = ExecutorTask {
         offer,
         method: head.method,
@@ -135,7 +135,7 @@
     context: &WorkContext,
     peer: InstanceId,
     head: &WorkHead,
-    extras: WorkExtras,
+    (extras, terms): (WorkExtras, Option<WorkTerms>),
 ) -> WorkOffer {
     WorkOffer {
         work: context.next_work(),
@@ -154,6 +154,7 @@
         patience: extras.patience,
         kind: extras.kind,
         arrival: extras.arrival,
+        terms,
     }
 }
 
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -227,7 +227,7 @@
         settings.slots = u32::from(announced.slots);
         LocalUpstream {
             announced: announced.clone(),
-            gate: SlotGate::new(settings, now).warm_up_left(now, announced.warm_up),
+            gate: Box::new(SlotGate::new(settings, now).warm_up_left(now, announced.warm_up)),
             breaker: UpstreamBreaker::new(now)
                 .use_run_ages(self.settings.policy.is_on(PolicyMechanism::OpenRuns)),
             limit: None,
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -13,7 +13,7 @@
 use sycamorelink_policy::LoadHint;
 use sycamorelink_roster::RosterMessage;
 
-use crate::event::ArrivalKind;
+use crate::event::{ArrivalKind, WorkTerms};
 use crate::message::PeerMessage;
 use crate::note::NodeNote;
 
@@ -181,4 +181,6 @@
     pub kind: u64,
     /// Kind of arrival that the attempt counts as towards the bound on repeats.
     pub arrival: ArrivalKind,
+    /// Terms for overload control; `None` where it is off.
+    pub terms: Option<WorkTerms>,
 }
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -9,7 +9,7 @@
 
 use crate::budgets::budget_entry;
 use crate::command::{AttemptOrder, NodeCommand};
-use crate::event::ArrivalKind;
+use crate::event::{ArrivalKind, WorkTerms};
 use crate::node::{NodeEngine, TimerPurpose};
 use crate::note::NodeNote;
 use crate::request::{OpenAttempt, RequestState};
@@ -184,6 +184,7 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let own = self.own.instance.node;
+        let sends_terms = self.uses_overload_mechanism(PolicyMechanism::DeadlineQueue);
         let address = self.address_of(upstream.node);
         let Some(executor) = self.instance_of(upstream.node) else {
             return;
@@ -230,6 +231,7 @@
             patience: max_slot_wait(now, state),
             kind: state.rule.work_kind(),
             arrival: arrival_kind(state),
+            terms: sends_terms.then(|| work_terms(now, state)),
         };
         out.push(NodeCommand::Note(NodeNote::AttemptSent {
             label: Arc::clone(&order.label),
@@ -315,6 +317,15 @@
     Some(latest.saturating_sub(now))
 }
 
+fn work_terms(now: Duration, state: &RequestState) -> WorkTerms {
+    let objective = state.rule.objective;
+    let objective_at = objective.map(|objective| state.arrived + objective.latency);
+    WorkTerms {
+        objective_left: objective_at.map(|at| at.saturating_sub(now)),
+        account: state.account.as_ref().map(|rule| rule.name().clone()),
+    }
+}
+
 /// Returns the refusal for a service without a usable upstream.
 pub(crate) fn no_upstream() -> RequestRefusal {
     RequestRefusal::not_run(RefusalCode::NoUpstream).retry_after(NO_UPSTREAM_RETRY_DELAY)
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -257,6 +257,18 @@
     pub kind: u64,
     /// Kind of arrival that the work counts as towards the bound on repeats.
     pub arrival: ArrivalKind,
+    /// Terms for overload control; `None` if it is off at the node that offers the work.
+    pub terms: Option<WorkTerms>,
+}
+
+/// Terms of a request that overload control at the executor depends on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkTerms {
+    /// Time left until the latency objective is missed, zero if it is already missed; `None` if the
+    /// route has no objective.
+    pub objective_left: Option<Duration>,
+    /// Client account that the request is served for; `None` if unknown.
+    pub account: Option<CustomerName>,
 }
 
 /// Kind of an arrival at a backend server, for the bound on repeats of its service.
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -155,11 +155,13 @@
         } else {
             state.offer.customer.clone()
         };
+        let terms = state.offer.terms.as_ref();
+        let objective_left = terms.and_then(|terms| terms.objective_left);
         let class = WorkClass {
-            customer: lane,
-            priority: state.offer.priority,
-            deadline: state.deadline,
-            expected: Duration::ZERO,
+            kind: state.offer.kind,
+            objective: objective_left.map(|left| now + left),
+            account: terms.and_then(|terms| terms.account.clone()),
+            ..WorkClass::new(lane, state.offer.priority, state.deadline)
         };
         let patience = state.offer.patience;
         let Some(upstream) = self.upstreams.get_mut(&state.offer.slot) else {
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -33,6 +33,7 @@
 use crate::following::FollowState;
 use crate::node::NodeEngine;
 use crate::note::NodeNote;
+use crate::overload::longest_objective;
 
 /// Index of the single customer of a fleet contract. Per-customer contracts never use this index.
 pub(crate) const FLEET_INDEX: TableIndex = TableIndex(u32::MAX);
@@ -81,6 +82,8 @@
 pub(crate) struct FleetState {
     /// The contract in force and its compiled form.
     pub(crate) current: Option<(Arc<FleetContract>, Arc<FleetTable>)>,
+    /// Longest latency objective of the contract in force; zero without a contract.
+    pub(crate) longest_objective: Duration,
     /// Recent contracts and the patches between them.
     pub(crate) history: ContractHistory,
     /// The newest announced version, and the node that published or announced it.
@@ -116,6 +119,7 @@
         let mut random = SmallRng::seed_from_u64(seed);
         Self {
             current: None,
+            longest_objective: Duration::ZERO,
             history: ContractHistory::default(),
             head: None,
             missing: BTreeMap::new(),
@@ -276,6 +280,7 @@
         }
         let table = Arc::new(FleetTable::new(&contract));
         self.fleet.history.push(stamp, Arc::clone(&contract));
+        self.fleet.longest_objective = longest_objective(&contract);
         self.fleet.current = Some((contract, table));
         out.push(NodeCommand::Note(NodeNote::FleetContractAdopted {
             version,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -47,6 +47,7 @@
 mod message;
 mod node;
 mod note;
+mod overload;
 mod pools;
 mod pulling;
 mod quotas;
@@ -59,7 +60,7 @@
 pub use command::{AttemptOrder, NodeCommand};
 pub use event::{
     ArrivalKind, AttemptReport, CallerRequest, LifeId, LimitNotice, LogEntry, LogStream, NodeEvent,
-    ServerNotice, UpstreamAnnouncement, UpstreamLife, WorkEnd, WorkOffer, WorkReport,
+    ServerNotice, UpstreamAnnouncement, UpstreamLife, WorkEnd, WorkOffer, WorkReport, WorkTerms,
 };
 pub use fleet::ContractMode;
 pub use leaving::{LeavingMessage, LeavingServer};
--- a/crates/engine/src/local_upstream.rs
+++ b/crates/engine/src/local_upstream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sycamorelink_limits::SlotGate;
+use sycamorelink_limits::AdmissionGate;
 use sycamorelink_policy::UpstreamBreaker;
 
 use crate::event::{LifeId, UpstreamAnnouncement};
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct LocalUpstream {
     pub(crate) announced: UpstreamAnnouncement,
-    pub(crate) gate: SlotGate,
+    pub(crate) gate: Box<dyn AdmissionGate>,
     pub(crate) breaker: UpstreamBreaker,
     /// Budget of repeats that the server may be given; `None` before the first repeat.
     pub(crate) repeats: Option<RepeatBudgets>,
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -6,7 +6,9 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use sycamorelink_core::FindingList;
 use sycamorelink_guard::GuardSettings;
-use sycamorelink_limits::{CrashSettings, GateSettings, QuotaSettings, ShareSettings};
+use sycamorelink_limits::{
+    CrashSettings, GateSettings, OverloadSettings, QuotaSettings, ShareSettings,
+};
 use sycamorelink_policy::PolicySettings;
 use sycamorelink_roster::RosterSettings;
 
@@ -41,6 +43,8 @@
     pub gate: GateSettings,
     /// Accuracy with which quotas of client accounts are enforced.
     pub quota: QuotaSettings,
+    /// Overload control for callers that can wait for several seconds.
+    pub overload: OverloadSettings,
     /// Mechanisms that take part in the decisions on requests.
     pub policy: PolicySettings,
     /// Maximum body size of a keyed request, in bytes. The body is read completely, to be compared
@@ -69,6 +73,7 @@
             crash: CrashSettings::default(),
             gate: GateSettings::default(),
             quota: QuotaSettings::default(),
+            overload: OverloadSettings::default(),
             policy: PolicySettings::default(),
             keyed_body: 1 << 20,
             announcement: Duration::from_secs(4),
@@ -87,6 +92,7 @@
             self.crash.validate("limits.crash"),
             self.gate.validate("limits.gate"),
             self.quota.validate("limits.quota"),
+            self.overload.validate("limits.overload"),
         ] {
             if let Err(found) = part {
                 findings.0.extend(found.0);
--- a/crates/engine/tests/session/world/work.rs
+++ b/crates/engine/tests/session/world/work.rs
@@ -131,6 +131,7 @@
             patience: order.patience,
             kind: order.kind,
             arrival: order.arrival,
+            terms: order.terms,
         };
         let delay = if executor == ingress {
             Duration::ZERO
--- a/crates/lab/src/shares/gate_simulation.rs
+++ b/crates/lab/src/shares/gate_simulation.rs
@@ -341,12 +341,7 @@
             service,
         };
         let deadline = (arrived_at + self.plan.deadline).min(now + self.plan.attempt);
-        let class = WorkClass {
-            customer: self.names[caller].clone(),
-            priority: 0,
-            deadline,
-            expected: Duration::ZERO,
-        };
+        let class = WorkClass::new(self.names[caller].clone(), 0, deadline);
         match self.gates[server].offer(now, WorkId(work), class) {
             Some(runs) => {
                 self.open.insert(work, attempt);
--- a/crates/limits/src/admission/gate.rs
+++ b/crates/limits/src/admission/gate.rs
@@ -6,6 +6,7 @@
 use sycamorelink_core::{CustomerName, RefusalCode};
 
 use super::estimate::{RetryPacer, ServiceEstimate};
+use super::interface::AdmissionGate;
 use super::lane::{LaneKey, LaneSet, QueuedWork};
 use super::permits::PermitBucket;
 use super::reserve::SlotReserve;
@@ -414,3 +415,62 @@
 const fn refused(code: RefusalCode, retry_after: Option<Duration>) -> GateDecision {
     GateDecision::Refused { code, retry_after }
 }
+
+impl AdmissionGate for SlotGate {
+    fn offer(&mut self, now: Duration, work: WorkId, class: WorkClass) -> GateDecision {
+        Self::offer(self, now, work, class)
+    }
+
+    fn limit_queue_wait(
+        &self,
+        now: Duration,
+        class: WorkClass,
+        max_wait: Option<Duration>,
+    ) -> WorkClass {
+        Self::limit_queue_wait(self, now, class, max_wait)
+    }
+
+    fn finished(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
+        Self::finished(self, now, work, out);
+    }
+
+    fn released(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
+        Self::released(self, now, work, out);
+    }
+
+    fn cancel(&mut self, now: Duration, work: WorkId) -> bool {
+        Self::cancel(self, now, work)
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<GateCommand>) {
+        Self::tick(self, now, out);
+    }
+
+    fn close(&mut self) {
+        Self::close(self);
+    }
+
+    fn is_closed(&self) -> bool {
+        Self::is_closed(self)
+    }
+
+    fn is_idle(&self) -> bool {
+        Self::is_idle(self)
+    }
+
+    fn load(&self, now: Duration) -> GateLoad {
+        Self::load(self, now)
+    }
+
+    fn set_rate_limit(&mut self, now: Duration, rate: Option<f64>) {
+        Self::set_rate_limit(self, now, rate);
+    }
+
+    fn take_permits(&mut self) -> Option<PermitBucket> {
+        Self::take_permits(self)
+    }
+
+    fn put_permits(&mut self, permits: PermitBucket) {
+        Self::put_permits(self, permits);
+    }
+}
--- a/crates/limits/src/admission/mod.rs
+++ b/crates/limits/src/admission/mod.rs
@@ -8,12 +8,14 @@
 
 mod estimate;
 mod gate;
+mod interface;
 mod lane;
 mod permits;
 mod reserve;
 mod settings;
 
 pub use gate::SlotGate;
+pub use interface::AdmissionGate;
 pub use permits::PermitBucket;
 pub use settings::GateSettings;
 
@@ -40,6 +42,29 @@
     pub deadline: Duration,
     /// Expected service time if the calling side knows one, else zero.
     pub expected: Duration,
+    /// Hash of the route, by which service times are learned.
+    pub kind: u64,
+    /// Time by which the answer has its full value for the caller, since the node started; `None`
+    /// if the route has no objective.
+    pub objective: Option<Duration>,
+    /// Client account that the work is done for; `None` if unknown.
+    pub account: Option<CustomerName>,
+}
+
+impl WorkClass {
+    /// Creates a class without an expected service time, a kind, an objective and an account.
+    #[must_use]
+    pub const fn new(customer: CustomerName, priority: u8, deadline: Duration) -> Self {
+        Self {
+            customer,
+            priority,
+            deadline,
+            expected: Duration::ZERO,
+            kind: 0,
+            objective: None,
+            account: None,
+        }
+    }
 }
 
 /// Decision on an offered request.
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -15,18 +15,21 @@
 pub mod admission;
 pub mod crash;
 pub mod holder_count;
+pub mod overload;
 pub mod quota;
 pub mod retry_budget;
 pub mod share;
 
 pub use admission::{
-    GateCommand, GateDecision, GateLoad, GateSettings, PermitBucket, SlotGate, WorkClass, WorkId,
+    AdmissionGate, GateCommand, GateDecision, GateLoad, GateSettings, PermitBucket, SlotGate,
+    WorkClass, WorkId,
 };
 pub use crash::{
     CrashCheck, CrashCommand, CrashEvent, CrashEvidence, CrashMessage, CrashRegistry,
     CrashSettings, CrashSignature, CrashVictim,
 };
 pub use holder_count::HolderCount;
+pub use overload::OverloadSettings;
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
     UsageReport,
--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -26,10 +26,8 @@
 
 fn class(customer: &str, priority: u8, deadline: u64) -> WorkClass {
     WorkClass {
-        customer: CustomerName::new(customer),
-        priority,
-        deadline: at(deadline),
         expected: SERVICE,
+        ..WorkClass::new(CustomerName::new(customer), priority, at(deadline))
     }
 }
 
@@ -217,11 +215,12 @@
             match rng.random_range(0..4) {
                 0 | 1 => {
                     let customer = ["a", "b", "c"][rng.random_range(0..3)];
+                    let (customer, priority) =
+                        (CustomerName::new(customer), rng.random_range(0..4));
+                    let deadline = now + at(rng.random_range(0..2000));
                     let class = WorkClass {
-                        customer: CustomerName::new(customer),
-                        priority: rng.random_range(0..4),
-                        deadline: now + at(rng.random_range(0..2000)),
                         expected: at(rng.random_range(0..100)),
+                        ..WorkClass::new(customer, priority, deadline)
                     };
                     let work = WorkId(number);
                     match gate.offer(now, work, class) {
--- a/crates/limits/tests/settings.rs
+++ b/crates/limits/tests/settings.rs
@@ -1,6 +1,8 @@
 //! Tests for settings in JSON and for the findings of their validation.
 
-use sycamorelink_limits::{BudgetSettings, CrashSettings, GateSettings, ShareSettings};
+use sycamorelink_limits::{
+    BudgetSettings, CrashSettings, GateSettings, OverloadSettings, ShareSettings,
+};
 
 #[test]
 fn defaults_are_valid_and_serialized_with_units() {
@@ -46,3 +48,17 @@
     let error = serde_json::from_str::<GateSettings>(r#"{"warm_up": "5"}"#).expect_err("no unit");
     insta::assert_snapshot!(error);
 }
+
+#[test]
+fn overload_control_is_off_by_default_and_reports_all_findings() {
+    let defaults = OverloadSettings::default();
+    assert_eq!(defaults.objective_from, None);
+    assert_eq!(defaults.validate("overload"), Ok(()));
+    let overload: OverloadSettings = serde_json::from_str(
+        r#"{"objective_from": "0s", "queue": 0, "memory": "1KB", "report_interval": "10ms",
+            "report_size": "1B"}"#,
+    )
+    .expect("well formed");
+    let findings = overload.validate("overload").expect_err("wrong");
+    insta::assert_snapshot!(findings.to_string());
+}
--- a/crates/policy/src/mechanisms.rs
+++ b/crates/policy/src/mechanisms.rs
@@ -34,6 +34,24 @@
     NearFirst,
     /// Quotas of client accounts are enforced.
     AccountQuotas,
+    /// Work waits beside a backend server for as long as its objective and deadline allow.
+    DeadlineQueue,
+    /// Nodes report the free capacity of their backend servers, and callers' nodes select by the
+    /// expected time to an answer.
+    CapacityReports,
+    /// Backend servers lend each other unused parts of the bound on repeats.
+    RepeatLoans,
+    /// Requests that no upstream accepts at present wait at the node of their caller.
+    CallerQueue,
+    /// The number of concurrent runs of a backend server follows its measured throughput.
+    AdaptiveConcurrency,
+    /// Client accounts share the slots of a backend server fairly.
+    FairQueueing,
+    /// Retry delays follow the free capacity of the service.
+    PacedReturns,
+    /// The share of requests sent to other failure domains follows the difference of the expected
+    /// waits.
+    DomainSpillover,
 }
 
 /// Settings of the mechanisms.
