Add the deadline gate

Cause: the slot gate bounds the wait of all work by one figure. Callers with objectives of several seconds are refused although a slot would be free in time.

Change: DeadlineGate queues work in time before late, by priority and latest start, and learns the run time of each kind. AdmissionGate::offer returns the commands for other queued work, and a gate can adopt the running work, warm-up and permits of another one. SlotGate decides as before.

The inflow counts all offers that could be in time, also those refused.

--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -168,7 +168,8 @@
             return;
         };
         let class = upstream.gate.limit_queue_wait(now, class, patience);
-        match upstream.gate.offer(now, work, class) {
+        let mut commands = Vec::new();
+        match upstream.gate.offer(now, work, class, &mut commands) {
             GateDecision::Run => self.start_work(now, work, out),
             GateDecision::Queued => {}
             GateDecision::Refused { code, retry_after } => {
@@ -179,6 +180,7 @@
                 self.refuse_unstarted(now, work, code, retry_after, out);
             }
         }
+        self.on_gate_commands(now, commands, out);
     }
 
     fn start_work(&mut self, now: Duration, work: WorkId, out: &mut Vec<NodeCommand>) {
@@ -319,7 +321,7 @@
             upstream.gate.cancel(now, work);
             // If the order to run and the cancellation cross, the work is never started and no end
             // is reported. The slot is released here, or it would stay occupied forever.
-            upstream.gate.finished(now, work, &mut commands);
+            upstream.gate.cancelled(now, work, &mut commands);
         }
         self.on_gate_commands(now, commands, out);
         self.note_if_idle(state.offer.slot, out);
--- a/crates/limits/src/admission/gate.rs
+++ b/crates/limits/src/admission/gate.rs
@@ -10,10 +10,10 @@
 use super::lane::{LaneKey, LaneSet, QueuedWork};
 use super::permits::PermitBucket;
 use super::reserve::SlotReserve;
-use super::{GateCommand, GateDecision, GateLoad, GateSettings, WorkClass, WorkId};
+use super::{GateCommand, GateDecision, GateLoad, GateSettings, WarmUp, WorkClass, WorkId};
 
 /// Longest wait for a permit. Another server can usually start the work within some milliseconds.
-const MAX_PERMIT_WAIT: Duration = Duration::from_millis(100);
+pub(crate) const MAX_PERMIT_WAIT: Duration = Duration::from_millis(100);
 
 /// Work that holds a slot.
 #[derive(Debug)]
@@ -417,7 +417,13 @@
 }
 
 impl AdmissionGate for SlotGate {
-    fn offer(&mut self, now: Duration, work: WorkId, class: WorkClass) -> GateDecision {
+    fn offer(
+        &mut self,
+        now: Duration,
+        work: WorkId,
+        class: WorkClass,
+        _out: &mut Vec<GateCommand>,
+    ) -> GateDecision {
         Self::offer(self, now, work, class)
     }
 
@@ -473,4 +479,33 @@
     fn put_permits(&mut self, permits: PermitBucket) {
         Self::put_permits(self, permits);
     }
+
+    fn running_work(&self) -> Vec<WorkId> {
+        self.running.keys().copied().collect()
+    }
+
+    fn adopt_running(&mut self, work: WorkId, class: WorkClass, since: Duration) {
+        let key = LaneKey::of(work, &class);
+        let cost = self.estimate.cost(class.expected);
+        self.lanes.started(&class.customer, &key, cost);
+        let running = RunningWork {
+            customer: class.customer,
+            key,
+            cost,
+            since,
+        };
+        self.running.insert(work, running);
+    }
+
+    fn warm_up(&self) -> WarmUp {
+        WarmUp {
+            since: self.started_at,
+            length: self.settings.warm_up,
+        }
+    }
+
+    fn set_warm_up(&mut self, warm_up: WarmUp) {
+        self.started_at = warm_up.since;
+        self.settings.warm_up = warm_up.length;
+    }
 }
--- a/crates/limits/src/admission/interface.rs
+++ b/crates/limits/src/admission/interface.rs
@@ -3,13 +3,42 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
-use super::{GateCommand, GateDecision, GateLoad, PermitBucket, WorkClass, WorkId};
+use crate::overload::{QueueCount, QueueEvent, QueuePlace};
+
+use super::{GateCommand, GateDecision, GateLoad, PermitBucket, WarmUp, WorkClass, WorkId};
 
 /// Admission control in front of one backend server.
 pub trait AdmissionGate: Debug + Send {
     /// Decides whether a request runs, waits or is refused. Refuses an id that already runs or
-    /// waits.
-    fn offer(&mut self, now: Duration, work: WorkId, class: WorkClass) -> GateDecision;
+    /// waits. Appends the commands for queued work that follow from the offer to `out`.
+    fn offer(
+        &mut self,
+        now: Duration,
+        work: WorkId,
+        class: WorkClass,
+        out: &mut Vec<GateCommand>,
+    ) -> GateDecision;
+
+    /// Returns the place in the queue that the latest offer got or was refused, if the gate
+    /// estimates one; `None` if the offer did not have to wait.
+    fn offered_place(&self) -> Option<QueuePlace> {
+        None
+    }
+
+    /// Removes and returns the changes to queued work that need a report, oldest first. The
+    /// commands that follow from them are returned by the other methods.
+    fn take_queue_events(&mut self) -> Vec<QueueEvent> {
+        Vec::new()
+    }
+
+    /// Returns how many queued requests are in time and late; all are in time if the gate does not
+    /// distinguish them.
+    fn queue_count(&self, now: Duration) -> QueueCount {
+        QueueCount {
+            in_time: self.load(now).queued,
+            late: 0,
+        }
+    }
 
     /// Returns `class` adjusted so that the work starts within `max_wait`, if the gate limits the
     /// wait by its deadline.
@@ -28,6 +57,11 @@
     /// Frees the slot of work that ended without a valid service time sample.
     fn released(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>);
 
+    /// Frees the slot of work whose cancellation crossed its start.
+    fn cancelled(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
+        self.finished(now, work, out);
+    }
+
     /// Removes queued work that its caller cancelled. Returns true if the work was queued, in which
     /// case it has not run.
     fn cancel(&mut self, now: Duration, work: WorkId) -> bool;
@@ -56,4 +90,17 @@
 
     /// Sets a rate limit with the permits that are left of it.
     fn put_permits(&mut self, permits: PermitBucket);
+
+    /// Returns the work that holds a slot.
+    fn running_work(&self) -> Vec<WorkId>;
+
+    /// Gives a slot to work that has been running since `since` under the previous gate of the same
+    /// backend server, even if no slot is free.
+    fn adopt_running(&mut self, work: WorkId, class: WorkClass, since: Duration);
+
+    /// Returns the warm-up of the backend server.
+    fn warm_up(&self) -> WarmUp;
+
+    /// Replaces the warm-up, for a gate that continues the one of a previous gate.
+    fn set_warm_up(&mut self, warm_up: WarmUp);
 }
--- a/crates/limits/src/admission/mod.rs
+++ b/crates/limits/src/admission/mod.rs
@@ -13,11 +13,16 @@
 mod permits;
 mod reserve;
 mod settings;
+mod warm_up;
 
 pub use gate::SlotGate;
 pub use interface::AdmissionGate;
 pub use permits::PermitBucket;
 pub use settings::GateSettings;
+pub use warm_up::WarmUp;
+
+pub(crate) use estimate::RetryPacer;
+pub(crate) use gate::MAX_PERMIT_WAIT;
 
 use std::time::Duration;
 
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -22,14 +22,14 @@
 
 pub use admission::{
     AdmissionGate, GateCommand, GateDecision, GateLoad, GateSettings, PermitBucket, SlotGate,
-    WorkClass, WorkId,
+    WarmUp, WorkClass, WorkId,
 };
 pub use crash::{
     CrashCheck, CrashCommand, CrashEvent, CrashEvidence, CrashMessage, CrashRegistry,
     CrashSettings, CrashSignature, CrashVictim,
 };
 pub use holder_count::HolderCount;
-pub use overload::OverloadSettings;
+pub use overload::{DeadlineGate, OverloadSettings, QueueCount, QueueEvent, QueuePlace};
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
     UsageReport,
--- /dev/null
+++ b/crates/limits/src/overload/gate_builder.rs
@@ -0,0 +1,73 @@
+//! Builder of a deadline gate.
+
+use std::time::Duration;
+
+use crate::admission::{GateSettings, WarmUp};
+
+use super::gate::DeadlineGate;
+use super::settings::OverloadSettings;
+
+/// Builder of a [`DeadlineGate`].
+#[derive(Clone, Debug)]
+pub struct DeadlineGateBuilder {
+    pub(super) slots: u32,
+    pub(super) queue: u32,
+    pub(super) first_service_time: Duration,
+    pub(super) warm_up: WarmUp,
+}
+
+impl DeadlineGateBuilder {
+    /// Creates a builder with the default settings, for a backend server that started cold at `now`.
+    #[must_use]
+    pub fn new(now: Duration) -> Self {
+        let GateSettings {
+            slots,
+            first_service_time,
+            warm_up,
+            ..
+        } = GateSettings::default();
+        Self {
+            slots,
+            queue: OverloadSettings::default().queue,
+            first_service_time,
+            warm_up: WarmUp {
+                since: now,
+                length: warm_up,
+            },
+        }
+    }
+
+    /// Sets the number of requests that the backend server runs at once; at least 1.
+    #[must_use]
+    pub fn slots(mut self, slots: u32) -> Self {
+        self.slots = slots.max(1);
+        self
+    }
+
+    /// Sets the maximum number of waiting requests.
+    #[must_use]
+    pub const fn queue(mut self, queue: u32) -> Self {
+        self.queue = queue;
+        self
+    }
+
+    /// Sets the run time assumed before the first run ended.
+    #[must_use]
+    pub const fn first_service_time(mut self, time: Duration) -> Self {
+        self.first_service_time = time;
+        self
+    }
+
+    /// Sets the time from one slot to all slots; zero opens all at once.
+    #[must_use]
+    pub const fn warm_up(mut self, length: Duration) -> Self {
+        self.warm_up.length = length;
+        self
+    }
+
+    /// Creates the gate.
+    #[must_use]
+    pub fn build(self) -> DeadlineGate {
+        DeadlineGate::new(&self)
+    }
+}
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -4,6 +4,27 @@
 //! [`OverloadSettings::objective_from`]. All other fleets keep the gates and budgets of the sibling
 //! modules.
 
+//!
+//! ```text
+//! offer ─ slot free ─▶ run
+//!       ├ meets its objective ─▶ queued in time ─┬─▶ start
+//!       ├ meets its deadline ──▶ queued late ────┤
+//!       │                                        └─▶ refused at its latest start (not run)
+//!       └ else ─▶ refused at once (not run)
+//! ```
+
+mod gate;
+mod gate_admission;
+mod gate_builder;
+mod inflow;
+mod queue;
+mod queue_report;
+mod run_cost;
 mod settings;
 
+pub use gate::DeadlineGate;
+pub use gate_builder::DeadlineGateBuilder;
+pub use queue::{DeadlineQueue, QueueCount, WaitingWork};
+pub use queue_report::{QueueEvent, QueuePlace};
+pub use run_cost::RunCosts;
 pub use settings::OverloadSettings;
--- /dev/null
+++ b/crates/limits/src/overload/queue_report.rs
@@ -0,0 +1,30 @@
+//! What a deadline gate reports about queued work.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::admission::WorkId;
+
+/// Place of offered work in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueuePlace {
+    /// Number of requests that start before this one.
+    pub position: u32,
+    /// Expected time until the start; `None` if work that is in time occupies every slot.
+    pub expected_wait: Option<Duration>,
+    /// Whether the work can meet its objective.
+    pub in_time: bool,
+}
+
+/// Change to queued work that needs a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum QueueEvent {
+    /// The work can no longer meet its objective and continues to wait as late.
+    BecameLate(WorkId),
+    /// The work can no longer meet its deadline and is refused.
+    Expired(WorkId),
+    /// The queue was full and an offer sorted before the work, which is refused.
+    Displaced(WorkId),
+}
