Use the deadline gate under overload control, and report its decisions

Cause: the deadline gate was not in use, and nothing showed why work waits or is refused.

Change: a backend server gets a deadline gate where the mechanism deadline-queue applies. A contract that switches it on or off replaces the gate: running work keeps its slot, queued work is refused as overloaded. A leaving daemon refuses queued work as draining. WorkDecided carries the place in the queue, which the new line SL2020 work-queued and the refusals show; SL2021 reports work that lost its objective. New metrics queue_waiting, queue_late, queue_expired, queue_displaced and queue_declined.

Under overload control, refuse_queued also removes the work from the gate. The slot gate keeps it as before, and gives it a slot later that nothing frees.

--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -43,6 +43,8 @@
     last_shed: BTreeMap<ServiceName, Duration>,
     /// Services that callers sent requests to.
     services: BTreeSet<ServiceName>,
+    /// Work in time and late in the deadline queues, by service.
+    queues: BTreeMap<ServiceName, (u64, u64)>,
     /// Highest contract offset that was reported as missing on this node.
     missing_head: u64,
     next_gauges: Duration,
@@ -63,6 +65,7 @@
             metrics: MetricTable::new(telemetry.registry.clone()),
             last_shed: BTreeMap::new(),
             services: BTreeSet::new(),
+            queues: BTreeMap::new(),
             missing_head: 0,
             next_gauges: Duration::ZERO,
             next_slow_check: Duration::ZERO,
@@ -186,6 +189,7 @@
             }
             NodeNote::AttemptSent { .. }
             | NodeNote::WorkDecided { .. }
+            | NodeNote::WorkBecameLate { .. }
             | NodeNote::WorkDone { .. } => self.record_attempt(note),
             NodeNote::HedgeSent {
                 request,
--- a/crates/daemon/src/notes/attempts.rs
+++ b/crates/daemon/src/notes/attempts.rs
@@ -1,7 +1,9 @@
 //! Records attempts: the selected upstream and the view it was selected from, the decision of the
 //! upstream's node, and the result.
 
-use sycamorelink_engine::{NodeNote, RepeatBudgetView};
+use sycamorelink_core::ServiceName;
+use sycamorelink_engine::{NodeNote, QueueStep, RepeatBudgetView};
+use sycamorelink_limits::QueuePlace;
 use sycamorelink_policy::UpstreamView;
 use sycamorelink_telemetry::{EventCode, EventFields, MetricName};
 
@@ -41,22 +43,42 @@
                 odds,
                 left,
                 repeat_budget,
+                queue,
             } => {
                 let reason = format!(
-                    "attempt {number}, {} of {} slots in use, {} waiting, odds {odds:.1}{}",
+                    "attempt {number}, {} of {} slots in use, {} waiting, odds {odds:.1}{}{}",
                     load.in_use,
                     load.slots,
                     load.queued,
-                    repeat_budget.map_or_else(String::new, repeat_budget_text)
+                    repeat_budget.map_or_else(String::new, repeat_budget_text),
+                    queue.map_or_else(String::new, queue_text)
                 );
                 let left = format!("{}ms", left.as_millis());
                 let fields = EventFields::new().request(label).service(service);
                 let fields = fields.upstream(id).limit(&left).reason(&reason);
+                self.count_queue_step(service, *queue);
                 match refused {
+                    None if queue.is_some() => self.emit(EventCode::WorkQueued, &fields),
                     None => self.emit(EventCode::WorkStarted, &fields),
                     Some(code) => self.emit(EventCode::WorkRefused, &fields.refusal(code)),
                 }
             }
+            NodeNote::WorkBecameLate {
+                label,
+                number,
+                id,
+                service,
+                waited,
+                left,
+            } => {
+                self.increment(SeriesKey::of(MetricName::QueueLate).service(service));
+                let reason = format!("attempt {number}");
+                let waited = format!("{}ms", waited.as_millis());
+                let left = format!("{}ms", left.as_millis());
+                let fields = EventFields::new().request(label).service(service);
+                let fields = fields.upstream(id).duration(&waited).limit(&left);
+                self.emit(EventCode::WorkBecameLate, &fields.reason(&reason));
+            }
             NodeNote::WorkDone {
                 label,
                 number,
@@ -84,6 +106,34 @@
             _ => {}
         }
     }
+
+    fn count_queue_step(&mut self, service: &ServiceName, step: Option<QueueStep>) {
+        let name = match step {
+            None | Some(QueueStep::Queued(_)) => return,
+            Some(QueueStep::Declined(_)) => MetricName::QueueDeclined,
+            Some(QueueStep::Expired) => MetricName::QueueExpired,
+            Some(QueueStep::Displaced) => MetricName::QueueDisplaced,
+        };
+        self.increment(SeriesKey::of(name).service(service));
+    }
+}
+
+fn queue_text(step: QueueStep) -> String {
+    match step {
+        QueueStep::Queued(place) => format!(", queued {}", place_text(place)),
+        QueueStep::Declined(place) => format!(", not queued {}", place_text(place)),
+        QueueStep::Expired => ", deadline lost in the queue".to_owned(),
+        QueueStep::Displaced => ", removed from the full queue".to_owned(),
+    }
+}
+
+fn place_text(place: QueuePlace) -> String {
+    let standing = if place.in_time { "in time" } else { "late" };
+    let wait = place.expected_wait.map_or_else(
+        || "work in time takes every slot".to_owned(),
+        |wait| format!("expected wait {}ms", wait.as_millis()),
+    );
+    format!("behind {} {standing}, {wait}", place.position)
 }
 
 fn repeat_budget_text(budget: RepeatBudgetView) -> String {
--- a/crates/daemon/src/notes/periodic.rs
+++ b/crates/daemon/src/notes/periodic.rs
@@ -59,6 +59,25 @@
             let key = SeriesKey::of(MetricName::QueueLength).service(service);
             self.metrics.set(key, *queued);
         }
+        self.update_queue_gauges(engine);
+    }
+
+    /// Updates the gauges of waiting work. They return to zero when the deadline queue is switched
+    /// off.
+    fn update_queue_gauges(&mut self, engine: &NodeEngine) {
+        for (in_time, late) in self.queues.values_mut() {
+            (*in_time, *late) = (0, 0);
+        }
+        for (announced, count) in engine.queue_counts() {
+            let (in_time, late) = self.queues.entry(announced.service).or_default();
+            *in_time += u64::from(count.in_time);
+            *late += u64::from(count.late);
+        }
+        for (service, (in_time, late)) in &self.queues {
+            let key = SeriesKey::of(MetricName::QueueWaiting).service(service);
+            self.metrics.set(key.clone().detail("in-time"), *in_time);
+            self.metrics.set(key.detail("late"), *late);
+        }
     }
 
     fn update_member_gauges(&mut self, engine: &NodeEngine) {
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use sycamorelink_core::{RefusalCode, ServiceName, UpstreamId};
-use sycamorelink_limits::{SlotGate, WorkId};
 use sycamorelink_policy::{PolicyMechanism, UpstreamBreaker, UpstreamPhase};
 use sycamorelink_roster::RosterEvent;
 
@@ -13,7 +12,6 @@
 use crate::local_upstream::LocalUpstream;
 use crate::node::{CLOSE_GRACE, NodeEngine};
 use crate::note::NodeNote;
-use crate::request::WorkPhase;
 
 impl NodeEngine {
     /// Handles the first or a renewed announcement of a local backend server.
@@ -197,37 +195,15 @@
         self.on_withdrawn(now, slot, out);
     }
 
-    /// Refuses the queued work of a server as not run, so that it may run elsewhere.
-    ///
-    /// Guards against work that is neither started nor refused: a server that announces itself anew
-    /// gets a new slot gate, and work queued at the previous one would wait forever.
-    pub(crate) fn refuse_queued(
-        &mut self,
-        now: Duration,
-        slot: u16,
-        code: RefusalCode,
-        out: &mut Vec<NodeCommand>,
-    ) {
-        let queued = self
-            .works
-            .iter()
-            .filter(|(_, work)| work.offer.slot == slot && work.phase == WorkPhase::Queued);
-        let queued: Vec<WorkId> = queued.map(|(work, _)| *work).collect();
-        for work in queued {
-            self.refuse_unstarted(now, work, code, None, out);
-        }
-    }
-
     pub(crate) fn new_upstream(
         &self,
         now: Duration,
         announced: &UpstreamAnnouncement,
     ) -> LocalUpstream {
-        let mut settings = self.settings.gate.clone();
-        settings.slots = u32::from(announced.slots);
         LocalUpstream {
             announced: announced.clone(),
-            gate: Box::new(SlotGate::new(settings, now).warm_up_left(now, announced.warm_up)),
+            gate: self.new_gate(now, announced),
+            queues_by_deadline: self.queues_by_deadline(),
             breaker: UpstreamBreaker::new(now)
                 .use_run_ages(self.settings.policy.is_on(PolicyMechanism::OpenRuns)),
             limit: None,
--- a/crates/engine/src/breaker.rs
+++ b/crates/engine/src/breaker.rs
@@ -17,7 +17,7 @@
 use crate::event::{WorkOffer, WorkReport};
 use crate::executor::upstream_id;
 use crate::node::NodeEngine;
-use crate::note::NodeNote;
+use crate::note::{NodeNote, QueueStep};
 
 /// Failure chance from which the breaker refuses non-idempotent work even when every other upstream
 /// that was asked is suspect too.
@@ -73,15 +73,16 @@
             return;
         };
         let left = state.deadline.saturating_sub(self.now);
+        let queue = state.queue_step;
         let offer = state.offer.clone();
-        self.note_offer_decision(&offer, refused, left, out);
+        self.note_offer_decision(&offer, (refused, queue), left, out);
     }
 
     /// Reports the decision on an offer, including one refused before it is tracked as work.
     pub(crate) fn note_offer_decision(
         &mut self,
         offer: &WorkOffer,
-        refused: Option<RefusalCode>,
+        (refused, queue): (Option<RefusalCode>, Option<QueueStep>),
         left: Duration,
         out: &mut Vec<NodeCommand>,
     ) {
@@ -96,6 +97,7 @@
             odds: self.odds_of(offer.slot),
             left,
             repeat_budget,
+            queue,
         }));
     }
 
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -10,12 +10,11 @@
 
 use std::time::Duration;
 
-use sycamorelink_contract::FLEET_CUSTOMER;
 use sycamorelink_core::{
-    AttemptId, CustomerName, InstanceId, RefusalCode, RequestRefusal, ServiceName, UpstreamId,
+    AttemptId, InstanceId, RefusalCode, RequestRefusal, ServiceName, UpstreamId,
 };
 use sycamorelink_guard::{DispatchTicket, GuardEvent, WorkOutcome};
-use sycamorelink_limits::{CrashCheck, GateCommand, GateDecision, GateLoad, WorkClass, WorkId};
+use sycamorelink_limits::{CrashCheck, GateCommand, GateDecision, GateLoad, WorkId};
 use sycamorelink_policy::{LoadHint, SampleKind, UpstreamSample};
 
 use crate::command::NodeCommand;
@@ -48,6 +47,7 @@
             on_turn: false,
             connection_lost: false,
             on_trial: false,
+            queue_step: None,
             offer,
         };
         let slot = state.offer.slot;
@@ -58,7 +58,8 @@
             && !self.withdraw_repeat(now, slot, state.offer.kind)
         {
             let refusal = RequestRefusal::not_run(RefusalCode::RepeatsSpent);
-            self.note_offer_decision(&state.offer, Some(refusal.code), state.offer.time_left, out);
+            let refused = (Some(refusal.code), None);
+            self.note_offer_decision(&state.offer, refused, state.offer.time_left, out);
             let load = self.load_of(slot);
             out.push(NodeCommand::RefuseWork {
                 work,
@@ -138,43 +139,38 @@
         self.ask_gate(now, work, out);
     }
 
-    /// Offers work to the slot gate of its upstream.
-    ///
-    /// Under a fleet contract all work shares one lane, ordered by priority and deadline. With a
-    /// lane for each client account, the calls made by backend servers, which belong to no account,
-    /// would share one lane among eighty and be refused first, although a run waits for each of
-    /// these calls. Quotas isolate the accounts instead.
+    /// Offers work to the gate of its upstream.
     fn ask_gate(&mut self, now: Duration, work: WorkId, out: &mut Vec<NodeCommand>) {
-        let fleet = self.uses_fleet_contract();
         let Some(state) = self.works.get_mut(&work) else {
             return;
         };
         state.phase = WorkPhase::Queued;
-        let lane = if fleet {
-            CustomerName::new(FLEET_CUSTOMER)
-        } else {
-            state.offer.customer.clone()
-        };
-        let terms = state.offer.terms.as_ref();
-        let objective_left = terms.and_then(|terms| terms.objective_left);
-        let class = WorkClass {
-            kind: state.offer.kind,
-            objective: objective_left.map(|left| now + left),
-            account: terms.and_then(|terms| terms.account.clone()),
-            ..WorkClass::new(lane, state.offer.priority, state.deadline)
+        let (slot, patience) = (state.offer.slot, state.offer.patience);
+        let Some(state) = self.works.get(&work) else {
+            return;
         };
-        let patience = state.offer.patience;
-        let Some(upstream) = self.upstreams.get_mut(&state.offer.slot) else {
+        let class = self.class_of(now, state);
+        let Some(upstream) = self.upstreams.get_mut(&slot) else {
             return;
         };
         let class = upstream.gate.limit_queue_wait(now, class, patience);
         let mut commands = Vec::new();
-        match upstream.gate.offer(now, work, class, &mut commands) {
+        let decision = upstream.gate.offer(now, work, class, &mut commands);
+        let is_limited = upstream.limit.is_some();
+        let service = upstream.announced.service.clone();
+        let must_leave = self.note_queue_place(work, &decision, out);
+        self.note_queue_events(now, slot, out);
+        match decision {
             GateDecision::Run => self.start_work(now, work, out),
+            GateDecision::Queued if must_leave => {
+                if let Some(upstream) = self.upstreams.get_mut(&slot) {
+                    upstream.gate.cancel(now, work);
+                }
+                self.refuse_unstarted(now, work, RefusalCode::Draining, None, out);
+            }
             GateDecision::Queued => {}
             GateDecision::Refused { code, retry_after } => {
-                if upstream.limit.is_some() && code == RefusalCode::Overloaded {
-                    let service = upstream.announced.service.clone();
+                if is_limited && code == RefusalCode::Overloaded {
                     out.push(NodeCommand::Note(NodeNote::ServerLimitHeld { service }));
                 }
                 self.refuse_unstarted(now, work, code, retry_after, out);
@@ -323,6 +319,7 @@
             // is reported. The slot is released here, or it would stay occupied forever.
             upstream.gate.cancelled(now, work, &mut commands);
         }
+        self.note_queue_events(now, state.offer.slot, out);
         self.on_gate_commands(now, commands, out);
         self.note_if_idle(state.offer.slot, out);
         if state.on_turn {
@@ -389,6 +386,7 @@
                 upstream.gate.released(now, work, &mut commands);
             }
         }
+        self.note_queue_events(now, slot, out);
         self.on_gate_commands(now, commands, out);
     }
 
@@ -408,6 +406,10 @@
         for slot in closed {
             self.refuse_queued(now, slot, RefusalCode::Draining, out);
         }
+        let slots: Vec<u16> = self.upstreams.keys().copied().collect();
+        for slot in slots {
+            self.note_queue_events(now, slot, out);
+        }
         self.on_gate_commands(now, commands, out);
     }
 
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -291,6 +291,7 @@
         self.fleet.forget_missing(now);
         self.refresh_fleet_pools();
         self.refresh_quotas();
+        self.refresh_gates(now, out);
         out.push(NodeCommand::ContractsChanged);
         let event = RosterEvent::Publish {
             topic: topic::CONTRACT_HEAD,
--- a/crates/engine/src/local_upstream.rs
+++ b/crates/engine/src/local_upstream.rs
@@ -20,6 +20,8 @@
 pub(crate) struct LocalUpstream {
     pub(crate) announced: UpstreamAnnouncement,
     pub(crate) gate: Box<dyn AdmissionGate>,
+    /// Whether the gate is a deadline gate.
+    pub(crate) queues_by_deadline: bool,
     pub(crate) breaker: UpstreamBreaker,
     /// Budget of repeats that the server may be given; `None` before the first repeat.
     pub(crate) repeats: Option<RepeatBudgets>,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -438,6 +438,7 @@
             return;
         }
         self.draining = Some(now);
+        self.refuse_queues_to_leave(now, out);
         self.handle_roster_event(now, RosterEvent::Leave, out);
         self.handle_guard_event(now, sycamorelink_guard::GuardEvent::DrainRequested, out);
     }
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -9,12 +9,26 @@
     UpstreamId,
 };
 use sycamorelink_guard::GuardNote;
+use sycamorelink_limits::QueuePlace;
 use sycamorelink_policy::{LoadHint, PoolFinding, SampleKind, UpstreamView};
 use sycamorelink_roster::{DownCause, RosterNote};
 
 use crate::event::WorkEnd;
 use crate::repeats::RepeatBudgetView;
 
+/// Decision of a deadline queue on offered or queued work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueueStep {
+    /// The work waits at this place.
+    Queued(QueuePlace),
+    /// The work is refused at once, since it can be served neither in time nor late.
+    Declined(QueuePlace),
+    /// The work is refused after waiting, since it can no longer meet its deadline.
+    Expired,
+    /// The work is refused after waiting, since the queue was full and an offer sorts before it.
+    Displaced,
+}
+
 /// Occurrences that the daemon records as numbered events.
 #[derive(Clone, Debug)]
 pub enum NodeNote {
@@ -169,6 +183,24 @@
         left: Duration,
         /// State of the bound on repeats; `None` unless this is a repeat that its server counts.
         repeat_budget: Option<RepeatBudgetView>,
+        /// Decision of the deadline queue; `None` if the work did not have to wait there or starts
+        /// now.
+        queue: Option<QueueStep>,
+    },
+    /// Work in a deadline queue can no longer meet its objective and waits as late.
+    WorkBecameLate {
+        /// Request id given by the caller, or the one that the fleet generated.
+        label: Arc<str>,
+        /// Number of the attempt within its request, from 0.
+        number: u16,
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service of the request.
+        service: ServiceName,
+        /// Time since the work was offered.
+        waited: Duration,
+        /// Time left until the deadline.
+        left: Duration,
     },
     /// Work ended at an upstream.
     WorkDone {
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -10,6 +10,7 @@
 use sycamorelink_policy::RetryPlan;
 
 use crate::event::{ArrivalKind, AttemptReport, CallerRequest, LifeId, WorkOffer};
+use crate::note::QueueStep;
 
 /// Phase of a request at its ingress node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,6 +161,8 @@
     pub connection_lost: bool,
     /// Whether the work runs as a trial of a suspect backend server.
     pub on_trial: bool,
+    /// Latest decision of a deadline queue that is not reported yet.
+    pub queue_step: Option<QueueStep>,
 }
 
 impl WorkState {
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -7,6 +7,7 @@
 mod fleet_contract;
 mod joining;
 mod leaving;
+mod overload_queue;
 mod regressions;
 mod repeat_bound;
 mod scenarios;
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -24,8 +24,8 @@
     UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
-use sycamorelink_limits::WorkId;
-use sycamorelink_policy::{SampleKind, UpstreamPhase};
+use sycamorelink_limits::{OverloadSettings, WorkId};
+use sycamorelink_policy::{PolicyMechanism, SampleKind, UpstreamPhase};
 use sycamorelink_roster::MemberFacts;
 
 use self::trace_lines::{command_line, event_line};
@@ -144,6 +144,10 @@
     gossip_bytes: Option<u32>,
     /// The fleet contract that nodes start with; `None` when per-customer contracts are in the log.
     fleet: Option<Arc<FleetContract>>,
+    /// Settings of overload control of each node.
+    overload: OverloadSettings,
+    /// Policy mechanisms that are switched off at each node.
+    policy_off: BTreeSet<PolicyMechanism>,
     /// Frozen nodes, with the events that wait for them.
     frozen: BTreeMap<NodeId, Vec<NodeEvent>>,
     /// When the current incarnation of each node started.
@@ -208,6 +212,26 @@
         Self::start_with(count, Some(Arc::new(contract)), Some(domains))
     }
 
+    /// Starts nodes under a fleet contract with settings of overload control and some policy
+    /// mechanisms switched off.
+    pub fn start_fleet_with_overload(
+        count: u8,
+        contract: FleetContract,
+        overload: OverloadSettings,
+        policy_off: &[PolicyMechanism],
+    ) -> Self {
+        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, None);
+        world.overload = overload;
+        world.policy_off = policy_off.iter().copied().collect();
+        world.trace_paused = true;
+        for number in 0..count {
+            world.add_node(number, 1);
+        }
+        world.run_for(Duration::from_secs(8));
+        world.trace_paused = false;
+        world
+    }
+
     fn start_with(count: u8, fleet: Option<Arc<FleetContract>>, domains: Option<u8>) -> Self {
         Self::start_all(count, fleet, domains, None)
     }
@@ -242,6 +266,8 @@
             fleet,
             first_start: false,
             gossip_bytes,
+            overload: OverloadSettings::default(),
+            policy_off: BTreeSet::new(),
             frozen: BTreeMap::new(),
             started_at: BTreeMap::new(),
             cursors: BTreeMap::new(),
@@ -297,6 +323,8 @@
             settings.contracts = ContractMode::Fleet;
             settings.gate.warm_up = Duration::ZERO;
         }
+        settings.overload = self.overload.clone();
+        settings.policy.off.clone_from(&self.policy_off);
         if let Some(bytes) = self.gossip_bytes {
             settings.roster.bytes_per_second = bytes;
             settings.roster.burst_bytes = bytes;
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -134,6 +134,8 @@
     2017 WorkStarted Debug "work-started" "work was handed to the backend server beside this daemon";
     2018 WorkRefused Debug "work-refused" "work for the backend server beside this daemon was refused as not run";
     2019 WorkEnded Debug "work-ended" "work ended at the backend server beside this daemon";
+    2020 WorkQueued Debug "work-queued" "work waits for a slot of the backend server beside this daemon";
+    2021 WorkBecameLate Debug "work-became-late" "queued work can no longer meet its latency objective";
 
     3001 UpstreamSuspected Info "upstream-suspected" "an upstream is doing worse than its peers or its own past";
     3002 WeightShifted Info "weight-shifted" "an upstream gets less work";
--- a/crates/telemetry/src/event/entries/request.rs
+++ b/crates/telemetry/src/event/entries/request.rs
@@ -149,4 +149,20 @@
                 outcome.",
         action: "Nothing.",
     },
+    EventEntry {
+        code: EventCode::WorkQueued,
+        reserved: false,
+        meaning: "Every slot of the backend server was in use, and the work waits under overload \
+                control. `reason` has its position in the queue, the expected wait and whether it \
+                can meet its latency objective; `limit` is the time left.",
+        action: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::WorkBecameLate,
+        reserved: false,
+        meaning: "The work has waited for `duration` and can no longer meet its latency \
+                objective. It continues to wait behind all work that can, for at most `limit`.",
+        action: "Nothing for one. Many mean that runs take longer than before, or that work of a \
+                higher priority takes the slots.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -180,6 +180,16 @@
         "Burn rate of the error budget over 5m or 1h: at 1000 the budget is used up exactly at the end of its window. Read every half minute.";
     MetricsDropped Counter "metrics_dropped" "samples" []
         "Samples that could not be sent.";
+    QueueWaiting Gauge "queue_waiting" "requests" ["service" "standing"]
+        "Requests waiting for a slot at this instance under overload control, by standing: in-time, if their latency objective can be met, or late.";
+    QueueLate Counter "queue_late" "requests" ["service"]
+        "Requests waiting at this instance that lost their latency objective.";
+    QueueExpired Counter "queue_expired" "requests" ["service"]
+        "Requests refused at this instance after waiting, because their deadline could no longer be met.";
+    QueueDisplaced Counter "queue_displaced" "requests" ["service"]
+        "Requests refused at this instance after waiting, because the queue was full and a more urgent request arrived.";
+    QueueDeclined Counter "queue_declined" "requests" ["service"]
+        "Requests refused at this instance at once, because they could neither be served in time nor late or the queue was full.";
 }
 
 /// Metrics that no code sends yet.
