Bound the memory for waiting requests and unread replies

Cause: under overload control requests wait for seconds, and their bodies could exceed the memory of a small machine.

Change: one MemoryAccount of the daemon counts buffered and streamed request bodies, the bodies of work from peers, reply buffers and replies until their caller has read them. Beyond limits.overload.memory a new request is refused at once as not run (SL8014 memory-exhausted, gauge memory_held). A ready reply is never refused: it counts beyond the limit, and a successful one is streamed instead of buffered. The account has a limit only where limits.overload.objective_from is set.

--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -17,6 +17,7 @@
 use sycamorelink_engine::{AttemptOrder, AttemptReport, NodeEvent};
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_policy::SampleKind;
+use sycamorelink_telemetry::{EventCode, EventFields};
 use tokio::sync::{mpsc, oneshot};
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
 
@@ -26,6 +27,8 @@
 use super::stream::{StreamedReply, stream_body};
 use super::{COMMAND_DEPTH, CallerCommand, CallerContext};
 use crate::inbox::DecisionInput;
+use crate::memory::{MemoryAccount, MemoryReservation};
+use crate::metrics::EventPort;
 use crate::reply::{
     BODY_DEPTH, BodyReceiver, BodySender, BodyTruncated, REPLY_DEPTH, ReplyEnd, ReplyHead,
     ReplyPart, buffered_body,
@@ -34,6 +37,9 @@
 
 /// Retry delay sent to a caller whose request was refused because the ring is full.
 const RING_FULL_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Retry delay sent to a caller whose request does not fit into the memory for waiting requests. About
+/// the time of one run, after which some of them have ended.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Lowest HTTP status that counts as a server error.
 const SERVER_ERROR_STATUS: u16 = 500;
 
@@ -59,6 +65,14 @@
     let (command_sender, commands) = mpsc::channel(COMMAND_DEPTH);
     let replayable = caller.replayable;
     let declared = caller.body_length;
+    // Reserved as a whole, so that a request is not refused after half of its body was read.
+    let bytes = declared.filter(|_| replayable).unwrap_or(0);
+    let Some(memory) = context.memory.try_reserve(bytes) else {
+        report_exhausted(&context.events, &context.memory, bytes);
+        let refusal = RequestRefusal::not_run(RefusalCode::Overloaded);
+        let refusal = refusal.retry_after(MEMORY_RETRY_DELAY);
+        return refuse(&context, id, &refusal);
+    };
     if context
         .inbox
         .try_send(DecisionInput::Request(caller, command_sender))
@@ -80,6 +94,7 @@
         replayable,
         declared,
         buffered_body: None,
+        memory: Some(memory),
         commands,
         part_sender,
         parts,
@@ -106,6 +121,8 @@
     order: Box<AttemptOrder>,
     head: Option<ReplyHead>,
     buffer: BytesMut,
+    /// Reservation for the buffer.
+    memory: MemoryReservation,
     end: Option<ReplyEnd>,
     /// Cancels the attempt when dropped.
     cancel: oneshot::Sender<()>,
@@ -130,6 +147,8 @@
     replayable: bool,
     declared: Option<u64>,
     buffered_body: Option<Bytes>,
+    /// Reservation for the body until it is buffered.
+    memory: Option<MemoryReservation>,
     commands: mpsc::Receiver<CallerCommand>,
     part_sender: mpsc::Sender<NumberedPart>,
     parts: mpsc::Receiver<NumberedPart>,
@@ -244,6 +263,7 @@
             order,
             head: None,
             buffer: BytesMut::new(),
+            memory: self.context.memory.reserve(0),
             end: None,
             cancel,
         };
@@ -268,8 +288,12 @@
             self.buffered_body.get_or_insert_default();
             return None;
         };
+        let mut memory = self
+            .memory
+            .take()
+            .unwrap_or_else(|| self.context.memory.reserve(0));
         let read = {
-            let read = collect_body(&mut body, limit, self.declared);
+            let read = collect_body(&mut body, limit, self.declared, &mut memory);
             tokio::pin!(read);
             loop {
                 tokio::select! {
@@ -285,18 +309,25 @@
         };
         match read {
             Ok(bytes) => {
-                self.buffered_body = Some(bytes);
+                self.buffered_body = Some(memory.hold(bytes));
                 None
             }
             Err(BufferError::Refused(refusal)) => Some(self.refuse_request(&refusal)),
-            Err(BufferError::Broken(code)) => Some(self.abort(code).await),
+            Err(BufferError::Broken(code)) => {
+                if code == RefusalCode::Overloaded {
+                    report_exhausted(&self.context.events, &self.context.memory, memory.bytes());
+                }
+                Some(self.abort(code).await)
+            }
         }
     }
 
     fn stream_request(&mut self, limit: u64) -> BodyReceiver {
         let (sender, receiver) = mpsc::channel(BODY_DEPTH);
         if let Some(body) = self.body.take() {
-            tokio::task::spawn_local(stream_request_body(body, sender, limit, self.declared));
+            let memory = self.context.memory.clone();
+            let declared = self.declared;
+            tokio::task::spawn_local(stream_request_body(body, sender, limit, declared, memory));
         }
         receiver
     }
@@ -310,9 +341,13 @@
             }
             ReplyPart::Chunk(chunk) => {
                 progress.buffer.extend_from_slice(&chunk);
+                progress.memory.grow(chunk.len() as u64);
                 let limit = self.context.reply_buffer.min(progress.order.reply_buffer);
                 let full = progress.buffer.len() > limit;
-                if full {
+                // A reply that may be replaced by a retry stays buffered. Any other is passed on
+                // when memory is short, so that its caller's pace limits what is held.
+                let is_final = progress.head.as_ref().is_some_and(has_succeeded);
+                if full || (is_final && self.context.memory.is_full()) {
                     self.stream_reply(number)
                 } else {
                     None
@@ -351,7 +386,7 @@
         let progress = self.attempts.remove(&number)?;
         let head = progress.head?;
         self.answered = true;
-        let body = ResponseBody::bytes(progress.buffer.freeze());
+        let body = ResponseBody::bytes(progress.memory.hold(progress.buffer.freeze()));
         Some(self.reply(&head, body))
     }
 
@@ -372,7 +407,8 @@
             report: attempt_report(&progress, sample_kind(head.status), RunState::Ran),
             started: progress.started,
             status: head.status,
-            buffered: Some(progress.buffer.freeze()),
+            buffered: Some(progress.memory.hold(progress.buffer.freeze())),
+            memory: self.context.memory.clone(),
             parts: std::mem::replace(&mut self.parts, empty),
             inbox: self.context.inbox.clone(),
             cancel: progress.cancel,
@@ -399,6 +435,18 @@
     }
 }
 
+fn has_succeeded(head: &ReplyHead) -> bool {
+    sample_kind(head.status) == SampleKind::Served
+}
+
+fn report_exhausted(events: &EventPort, memory: &MemoryAccount, bytes: u64) {
+    let limit = memory.limit().unwrap_or_default();
+    let reason = format!("{bytes} bytes needed");
+    let (used, fields) = (memory.used(), EventFields::new());
+    let fields = fields.count(&used).limit(&limit).reason(&reason);
+    events.emit(EventCode::MemoryExhausted, &fields);
+}
+
 fn sample_kind(status: u16) -> SampleKind {
     if status >= SERVER_ERROR_STATUS {
         SampleKind::Failed
@@ -429,6 +477,7 @@
     body: &mut RequestBody,
     limit: u64,
     declared: Option<u64>,
+    memory: &mut MemoryReservation,
 ) -> Result<Bytes, RefusalCode> {
     let mut bytes = BytesMut::new();
     while let Some(chunk) = body.data().await {
@@ -437,6 +486,10 @@
         if bytes.len() as u64 > limit {
             return Err(RefusalCode::BodyTooLarge);
         }
+        let missing = (bytes.len() as u64).saturating_sub(memory.bytes());
+        if !memory.try_grow(missing) {
+            return Err(RefusalCode::Overloaded);
+        }
     }
     if declared.is_some_and(|length| length != bytes.len() as u64) {
         return Err(RefusalCode::BadRequest);
@@ -450,10 +503,12 @@
     sender: BodySender,
     limit: u64,
     declared: Option<u64>,
+    memory: MemoryAccount,
 ) {
     let mut sent = 0;
     while let Some(chunk) = body.data().await {
         let chunk = chunk.map_err(|_| BodyTruncated);
+        let chunk = chunk.map(|chunk| memory.hold(chunk));
         sent += chunk.as_ref().map_or(0, |bytes| bytes.len() as u64);
         let chunk = if sent > limit {
             Err(BodyTruncated)
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -14,6 +14,8 @@
 use crate::adapters::CallerAdapter;
 use crate::http_server::PortServer;
 use crate::inbox::DecisionInput;
+use crate::memory::MemoryAccount;
+use crate::metrics::EventPort;
 use crate::ring::RingSender;
 use crate::work::AttemptTask;
 
@@ -39,6 +41,10 @@
     /// Set while the daemon drains; responses then carry `Connection: close`, so that callers open
     /// a new connection.
     pub leaving: Arc<AtomicBool>,
+    /// Account of the bodies and replies that are held here.
+    pub memory: MemoryAccount,
+    /// Event log.
+    pub events: EventPort,
 }
 
 impl CallerContext {
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -13,6 +13,7 @@
 use super::exchange::NumberedPart;
 use super::socket::CallerSocket;
 use crate::inbox::DecisionInput;
+use crate::memory::MemoryAccount;
 use crate::reply::{BodyTruncated, ReplyPart};
 use crate::ring::RingSender;
 
@@ -28,6 +29,8 @@
     pub status: u16,
     /// Bytes that were buffered before streaming started.
     pub buffered: Option<Bytes>,
+    /// Account of the chunks that the caller has not read.
+    pub memory: MemoryAccount,
     /// Channel for the remaining parts.
     pub parts: mpsc::Receiver<NumberedPart>,
     /// Ring of the decision thread, for the report.
@@ -57,7 +60,7 @@
 
     async fn on_part(&mut self, part: ReplyPart) -> Option<Result<Bytes, BodyTruncated>> {
         match part {
-            ReplyPart::Chunk(chunk) => Some(Ok(chunk)),
+            ReplyPart::Chunk(chunk) => Some(Ok(self.memory.hold(chunk))),
             ReplyPart::End(end) => {
                 self.report.service_time = Some(end.service_time);
                 self.report.load = end.load;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::inbox::{DecisionInput, INBOX_DEPTH};
 use crate::log_thread::{LogParts, start_log};
 use crate::members::MemberParts;
+use crate::memory::MemoryAccount;
 use crate::metrics::NodeTelemetry;
 use crate::metrics_thread::start_metrics;
 use crate::operators::{OperatorAuthenticator, OperatorContext, serve_operators};
@@ -89,7 +90,9 @@
         let authenticator = OperatorAuthenticator::new(&settings.operators)
             .context("the operators' accounts have findings")?;
         let (inbox, receiver) = bounded_ring(INBOX_DEPTH);
-        let shared = SharedParts::new(&settings, clock, inbox, facts.instance, adapters);
+        let mut shared = SharedParts::new(&settings, clock, inbox, facts.instance, adapters);
+        let overload = &engine_settings.overload;
+        shared.memory = MemoryAccount::new(overload.objective_from.map(|_| overload.memory));
         let metrics_thread = start_metrics(shared.telemetry.clone(), Arc::clone(&shared.stop))?;
         let work = start_work(&shared, sockets.peers, keys.clone())?;
         let (log_commands, log_thread) = match contracts {
@@ -118,6 +121,7 @@
             drained: Arc::clone(&shared.drained),
             ready: Arc::clone(&shared.ready),
             telemetry: shared.telemetry.clone(),
+            memory: shared.memory.clone(),
         };
         let seeds = settings.seeds.clone();
         let wall = shared.clock.wall().saturating_sub(shared.clock.now());
@@ -180,6 +184,7 @@
     stop: Arc<AtomicBool>,
     drain: watch::Sender<bool>,
     telemetry: NodeTelemetry,
+    memory: MemoryAccount,
 }
 
 impl SharedParts {
@@ -210,6 +215,7 @@
             stop: Arc::default(),
             drain: watch::Sender::new(false),
             telemetry,
+            memory: MemoryAccount::default(),
         }
     }
 
@@ -267,6 +273,8 @@
             sockets: CallerSockets::default(),
             adapter: Arc::clone(&self.adapters.caller),
             leaving: Arc::clone(&self.leaving),
+            memory: self.memory.clone(),
+            events: self.telemetry.events.clone(),
         }
     }
 
@@ -307,6 +315,7 @@
         directory: shared.directory.clone(),
         loads: shared.loads.clone(),
         events: shared.telemetry.events.clone(),
+        memory: shared.memory.clone(),
         adapter: Arc::clone(&shared.adapters.backend),
         drain: shared.drain.subscribe(),
     })
--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -27,6 +27,7 @@
 use crate::callers::CallerCommand;
 use crate::inbox::DecisionInput;
 use crate::log_thread::LogCommand;
+use crate::memory::MemoryAccount;
 use crate::metrics::NodeTelemetry;
 use crate::notes::NoteRecorder;
 use crate::operators::answer_query;
@@ -62,6 +63,8 @@
     pub ready: Arc<AtomicBool>,
     /// Events and metrics.
     pub telemetry: NodeTelemetry,
+    /// Account of the bytes held for waiting requests and unread replies.
+    pub memory: MemoryAccount,
 }
 
 /// Event loop that runs the engine and executes its commands.
@@ -96,6 +99,7 @@
             engine.own_instance(),
             clock.wall().saturating_sub(clock.now()),
             &outputs.telemetry,
+            outputs.memory.clone(),
         );
         let gossip = MetricTags::new().with("kind", "gossip");
         let registry = &outputs.telemetry.registry;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod inbox;
 mod log_thread;
 pub mod members;
+pub mod memory;
 mod metrics;
 mod metrics_table;
 mod metrics_thread;
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -25,6 +25,7 @@
 use sycamorelink_telemetry::reach::PartitionMonitor;
 use sycamorelink_telemetry::{BurnLedger, BurnReport, EventCode, EventFields, MetricName};
 
+use crate::memory::MemoryAccount;
 use crate::metrics::{EventPort, NodeTelemetry};
 use crate::metrics_table::{MetricTable, SeriesKey};
 use objectives::ObjectiveTable;
@@ -45,6 +46,7 @@
     services: BTreeSet<ServiceName>,
     /// Work in time and late in the deadline queues, by service.
     queues: BTreeMap<ServiceName, (u64, u64)>,
+    memory: MemoryAccount,
     /// Highest contract offset that was reported as missing on this node.
     missing_head: u64,
     next_gauges: Duration,
@@ -55,7 +57,12 @@
     /// Creates a recorder for one incarnation of a node. `wall_at_start` is the wall-clock time at
     /// which the node's clock read zero.
     #[must_use]
-    pub fn new(instance: InstanceId, wall_at_start: Duration, telemetry: &NodeTelemetry) -> Self {
+    pub fn new(
+        instance: InstanceId,
+        wall_at_start: Duration,
+        telemetry: &NodeTelemetry,
+        memory: MemoryAccount,
+    ) -> Self {
         Self {
             burn: BurnLedger::new(instance, wall_at_start),
             objectives: ObjectiveTable::default(),
@@ -66,6 +73,7 @@
             last_shed: BTreeMap::new(),
             services: BTreeSet::new(),
             queues: BTreeMap::new(),
+            memory,
             missing_head: 0,
             next_gauges: Duration::ZERO,
             next_slow_check: Duration::ZERO,
--- a/crates/daemon/src/notes/periodic.rs
+++ b/crates/daemon/src/notes/periodic.rs
@@ -60,6 +60,9 @@
             self.metrics.set(key, *queued);
         }
         self.update_queue_gauges(engine);
+        if self.memory.limit().is_some() {
+            self.set_gauge(MetricName::MemoryHeld, self.memory.used());
+        }
     }
 
     /// Updates the gauges of waiting work. They return to zero when the deadline queue is switched
--- a/crates/daemon/src/work/serving.rs
+++ b/crates/daemon/src/work/serving.rs
@@ -19,6 +19,7 @@
 use super::executor::{ExecutorTask, execute};
 use super::{ReplySink, WorkContext};
 use crate::inbox::DecisionInput;
+use crate::memory::MemoryAccount;
 use crate::reply::{
     AttemptFailure, BODY_DEPTH, BodySender, BodyTruncated, REPLY_DEPTH, ReplyHead, ReplyPart,
 };
@@ -100,6 +101,10 @@
     } = exchange;
     let attempt = head.attempt;
     let slot = head.upstream.slot;
+    if context.memory.is_full() {
+        refuse_exhausted(&context, reply, &head).await;
+        return;
+    }
     let extras = head.guard.as_deref().map(WorkExtras::decode);
     let Some(Ok((extras, terms))) = extras else {
         refuse_malformed(reply, attempt).await;
@@ -126,7 +131,8 @@
         attempt,
         slot,
     };
-    tokio::task::spawn_local(forward_body(body, body_sender));
+    let memory = context.memory.clone();
+    tokio::task::spawn_local(forward_body(body, body_sender, memory));
     tokio::task::spawn_local(execute(context, task));
     relay.run(parts, reply, cancel).await;
 }
@@ -167,10 +173,27 @@
     let _ = reply.refuse(&refused).await;
 }
 
-async fn forward_body(mut body: WireBody, sender: BodySender) {
+/// Refuses work that would wait here while waiting bodies hold all memory for them.
+async fn refuse_exhausted(context: &WorkContext, reply: ReplySender, head: &WorkHead) {
+    let (used, limit) = (context.memory.used(), context.memory.limit());
+    let limit = limit.unwrap_or_default();
+    let reason = format!("{} bytes needed", head.body_length.unwrap_or_default());
+    let fields = EventFields::new().service(&head.service).count(&used);
+    let fields = fields.upstream(&head.upstream).limit(&limit);
+    let fields = fields.reason(&reason);
+    context.events.emit(EventCode::MemoryExhausted, &fields);
+    let refused = WorkRefused {
+        attempt: head.attempt,
+        refusal: RequestRefusal::not_run(RefusalCode::Overloaded),
+        load: load_report(context.loads.get(head.upstream.slot)),
+    };
+    let _ = reply.refuse(&refused).await;
+}
+
+async fn forward_body(mut body: WireBody, sender: BodySender, memory: MemoryAccount) {
     loop {
         let chunk = match body.chunk().await {
-            Ok(Some(chunk)) => Ok(chunk),
+            Ok(Some(chunk)) => Ok(memory.hold(chunk)),
             Ok(None) => return,
             Err(_) => Err(BodyTruncated),
         };
--- a/crates/daemon/src/work/thread.rs
+++ b/crates/daemon/src/work/thread.rs
@@ -24,6 +24,7 @@
 use super::{AttemptTask, BackendDirectory};
 use crate::adapters::BackendAdapter;
 use crate::inbox::DecisionInput;
+use crate::memory::MemoryAccount;
 use crate::metrics::EventPort;
 use crate::ring::RingSender;
 
@@ -84,6 +85,8 @@
     pub loads: LoadBoard,
     /// Event log.
     pub events: EventPort,
+    /// Account of the bodies that wait here.
+    pub memory: MemoryAccount,
     /// Protocol for requests to backend servers.
     pub adapter: Arc<dyn BackendAdapter>,
     work_counter: Rc<AtomicU64>,
@@ -119,6 +122,8 @@
     pub loads: LoadBoard,
     /// Event log.
     pub events: EventPort,
+    /// Account of the bodies that wait here.
+    pub memory: MemoryAccount,
     /// Protocol for requests to backend servers.
     pub adapter: Arc<dyn BackendAdapter>,
     /// Set to true when the node stops accepting work from peers.
@@ -184,6 +189,7 @@
             peers: PeerPool::new(parts.identity.clone(), parts.wire),
             loads: parts.loads,
             events: parts.events,
+            memory: parts.memory,
             adapter: parts.adapter,
             work_counter: Rc::new(AtomicU64::new(1)),
         };
--- a/crates/telemetry/src/event/entries/load.rs
+++ b/crates/telemetry/src/event/entries/load.rs
@@ -103,4 +103,13 @@
         meaning: "The short window is back below its threshold.",
         action: "Nothing. The budget that was used stays used until the window has passed.",
     },
+    EventEntry {
+        code: EventCode::MemoryExhausted,
+        reserved: false,
+        meaning: "The bytes of the request did not fit into `limits.overload.memory`, and it was \
+                refused as not run. `count` has the bytes held, `limit` the limit, and `reason` \
+                the bytes that the request needed. The metric `events` counts these refusals.",
+        action: "Look for callers that send bodies slowly or read replies slowly. If there are \
+                none, raise `limits.overload.memory` as far as the machine allows.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -190,6 +190,8 @@
         "Requests refused at this instance after waiting, because the queue was full and a more urgent request arrived.";
     QueueDeclined Counter "queue_declined" "requests" ["service"]
         "Requests refused at this instance at once, because they could neither be served in time nor late or the queue was full.";
+    MemoryHeld Gauge "memory_held" "bytes" []
+        "Bytes held for waiting requests and unread replies under overload control.";
 }
 
 /// Metrics that no code sends yet.
