Test what trace shows of the queue and the bound on memory

Cause: the place in the queue, the reason of a refusal by it and the refusal for lack of memory were not tested as an operator or a caller sees them.

--- a/crates/daemon/tests/telemetry/main.rs
+++ b/crates/daemon/tests/telemetry/main.rs
@@ -6,4 +6,5 @@
 
 mod audit;
 mod events;
+mod memory_bound;
 mod metrics;
--- a/crates/daemon/tests/telemetry/node.rs
+++ b/crates/daemon/tests/telemetry/node.rs
@@ -95,6 +95,11 @@
 impl NodeFixture {
     /// Starts a daemon whose instance and administrator account are both named `operator`.
     pub fn start(operator: &str) -> Self {
+        Self::start_with_limits(operator, serde_json::json!({}))
+    }
+
+    /// Does the same with the section `limits` of the settings.
+    pub fn start_with_limits(operator: &str, limits: Value) -> Self {
         log_buffer();
         let receiver = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
         receiver.set_nonblocking(true).expect("the socket is set");
@@ -110,7 +115,10 @@
             .log_address(start_log())
             .fleet_key("k1", "0123456789abcdef0123456789abcdef")
             .operator(account)
-            .adjust(|settings| settings.telemetry.metrics = Some(metrics))
+            .adjust(|settings| {
+                settings.telemetry.metrics = Some(metrics);
+                settings.limits = limits;
+            })
             .build()
             .expect("the settings are right");
         Self {
--- a/tests/testsuite/cli/trace.rs
+++ b/tests/testsuite/cli/trace.rs
@@ -8,6 +8,8 @@
 /// Log lines of four failed requests and of the upstreams that were tried, merged as by a log
 /// collector.
 const LOG: &str = "tests/testsuite/cli/logs/day.log";
+/// Log lines of two requests at backend servers with a deadline queue.
+const QUEUE_LOG: &str = "tests/testsuite/cli/logs/queue.log";
 
 // A read is refused as not run: every upstream that was tried had no free slot in time or was held
 // off, so no backend server received the request.
@@ -37,6 +39,19 @@
     insta::assert_snapshot!(run(&["trace", "41eada88dc8239b0", LOG]));
 }
 
+// A request waits under overload control, loses its objective and is refused once its deadline
+// cannot be met. Guards against a queue whose position, expected wait and decisions are not shown.
+#[test]
+fn queued_request_shows_its_place_and_its_end_in_the_queue() {
+    insta::assert_snapshot!(run(&["trace", "q1", QUEUE_LOG]));
+}
+
+// Guards against a refusal by the queue whose inputs are not shown.
+#[test]
+fn refusal_by_the_queue_shows_why_it_was_not_queued() {
+    insta::assert_snapshot!(run(&["trace", "q2", QUEUE_LOG]));
+}
+
 #[test]
 fn unknown_request_and_missing_log_are_errors() {
     let texts = [
