Add capacity records and selection by the expected time to an answer

A caller's node selects by the load hints of its own replies. With 76 nodes and 64 servers these are seconds old, so under overload a request is offered to several full servers.

CapacityRecord is what the node beside a server reports, CapacityTable keeps the newest records of a service and ages them, and ServicePool::pick_soonest and ServicePool::forecast use them. GateLoad gets the expected wait and the mean run time, which SlotGate fills in. Nothing uses them yet.

--- a/crates/limits/src/admission/gate.rs
+++ b/crates/limits/src/admission/gate.rs
@@ -267,9 +267,21 @@
             slots,
             queued: queued.max(self.runs_within(permit_wait, slots)),
             closed: self.closed,
+            expected_wait: self.wait_of_next(now),
+            mean_run: self.estimate.cost(Duration::ZERO),
         }
     }
 
+    /// Returns the expected wait of the next request behind all queued work; zero while a slot is
+    /// free.
+    fn wait_of_next(&self, now: Duration) -> Duration {
+        if self.has_capacity(now) && self.lanes.len() == 0 {
+            return Duration::ZERO;
+        }
+        let work_left = self.remaining_cost(now) + self.lanes.total_cost();
+        (work_left / self.open_slots(now)).max(self.permit_wait(now))
+    }
+
     /// Returns the number of runs that this many slots would complete within a time, up to one for
     /// each slot. Peers compare servers by their queues, so the wait for a permit is reported as the
     /// queue that would take as long. A longer one would keep peers away after the limit has ended.
--- a/crates/limits/src/admission/mod.rs
+++ b/crates/limits/src/admission/mod.rs
@@ -116,4 +116,8 @@
     pub queued: u32,
     /// Whether new work is refused because the backend server is shutting down.
     pub closed: bool,
+    /// Expected wait of a new request that can meet its objective; zero while a slot is free.
+    pub expected_wait: Duration,
+    /// Mean run time.
+    pub mean_run: Duration,
 }
--- a/crates/limits/tests/gate.rs
+++ b/crates/limits/tests/gate.rs
@@ -341,3 +341,19 @@
     let code = RefusalCode::Overloaded;
     assert_eq!(decision, GateDecision::Refused { code, retry_after });
 }
+
+// Guards against capacity reports that name a wait while a slot is free, or none behind a queue.
+#[test]
+fn load_names_the_wait_of_the_next_request() {
+    let mut gate = warm_gate();
+    assert_eq!(gate.load(at(0)).expected_wait, Duration::ZERO);
+    fill_slots(&mut gate);
+    assert_eq!(gate.load(at(0)).expected_wait, SERVICE);
+    for work in 5..10 {
+        let decision = gate.offer(at(0), WorkId(work), class("a", 0, 10_000));
+        assert_eq!(decision, GateDecision::Queued);
+    }
+    assert_eq!(gate.load(at(0)).expected_wait, SERVICE * 2);
+    let assumed = GateSettings::default().first_service_time;
+    assert_eq!(gate.load(at(0)).mean_run, assumed);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 //! upstream: the upstream is *shifted*. Only a high score that stays high ejects it, and ejections
 //! never take more capacity than the floor allows.
 
+pub mod capacity;
 pub mod evidence;
 pub mod facts;
 pub mod finding;
@@ -48,12 +49,16 @@
 mod score;
 mod scoring;
 mod selection;
+mod soonest;
 mod tick;
 mod trials;
 mod weight;
 
 pub use breaker::{BreakerVerdict, UpstreamBreaker};
 pub use call_rates::{CallRates, OpenWork};
+pub use capacity::{
+    CapacityError, CapacityForecast, CapacityRecord, CapacityTable, ExpectedTime, select_freshest,
+};
 pub use evidence::{EvidenceRole, EvidenceScores, UpstreamEvidence};
 pub use facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding, UpstreamView};
 pub use finding::{EjectionCause, PoolFinding};
@@ -63,3 +68,4 @@
 pub use retry::{AttemptOutcome, RetryDecision, RetryPlan};
 pub use sample::{LoadHint, SampleKind, UpstreamSample};
 pub use settings::{Leaning, PoolSettings};
+pub use soonest::SoonestTerms;
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -155,8 +155,24 @@
 
     /// Returns the expected cost of an upstream's faults.
     pub(crate) fn fault_cost(&self, now: Duration, record: &UpstreamRecord) -> f64 {
-        let fails = self.excess_chance(now, record) * FAILED_SHARE;
-        fails + (1.0 - record.weight) * NO_WEIGHT_COST
+        self.reported_fault_cost(now, record, None)
+    }
+
+    /// Returns the expected cost of an upstream's faults, where its node also reported a chance of
+    /// failing in a capacity record, with the time of that report.
+    pub(crate) fn reported_fault_cost(
+        &self,
+        now: Duration,
+        record: &UpstreamRecord,
+        reported: Option<(Duration, f64)>,
+    ) -> f64 {
+        let hinted = record.hint.map(|(at, hint)| (at, hint.failing_chance()));
+        let newest = match (hinted, reported) {
+            (Some(hinted), Some(reported)) if reported.0 > hinted.0 => Some(reported),
+            (hinted, reported) => hinted.or(reported),
+        };
+        let fails = newest.map_or(0.0, |(at, chance)| self.excess_of(now, at, chance));
+        fails * FAILED_SHARE + (1.0 - record.weight) * NO_WEIGHT_COST
     }
 
     /// Returns whether an upstream is in another failure domain than the preferred one.
@@ -192,9 +208,12 @@
         let Some((received_at, hint)) = record.hint else {
             return 0.0;
         };
-        let age = now.saturating_sub(received_at).as_secs_f64();
-        (hint.failing_chance() - self.usual_failing_share()).max(0.0)
-            * (-age / REPORT_DECAY_SECONDS).exp()
+        self.excess_of(now, received_at, hint.failing_chance())
+    }
+
+    fn excess_of(&self, now: Duration, reported_at: Duration, chance: f64) -> f64 {
+        let age = now.saturating_sub(reported_at).as_secs_f64();
+        (chance - self.usual_failing_share()).max(0.0) * (-age / REPORT_DECAY_SECONDS).exp()
     }
 
     /// Returns the share of the service's upstreams that usually fail part of their requests, from
@@ -271,7 +290,7 @@
         best.map(|(index, _)| index)
     }
 
-    fn sample_candidates(&mut self) -> CandidateSample {
+    pub(crate) fn sample_candidates(&mut self) -> CandidateSample {
         CandidateSample::new(self.candidates.len(), &mut self.random)
     }
 
@@ -305,7 +324,7 @@
 /// together, an upstream whose neighbours are all in other failure domains would be the cheapest in
 /// most comparisons that include it.
 #[derive(Debug)]
-struct CandidateSample {
+pub(crate) struct CandidateSample {
     count: usize,
     next: usize,
     stride: usize,
--- /dev/null
+++ b/crates/policy/tests/capacity.rs
@@ -0,0 +1,446 @@
+//! Capacity records, and selection by the expected time to an answer, in virtual time.
+
+#[path = "common/capacity_fleet.rs"]
+mod capacity_fleet;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use capacity_fleet::{
+    CapacityFleet, MEAN_RUN, REPORT_SIZE, SLOTS, count, report_bytes, service, upstream,
+};
+use sycamorelink_core::NodeIncarnation;
+use sycamorelink_policy::{
+    CapacityError, CapacityRecord, CapacityTable, ExpectedTime, LoadHint, SoonestTerms,
+    select_freshest,
+};
+
+const NODES: usize = 76;
+const SERVERS: usize = 64;
+/// Time after which the queues of an overloaded fleet are full.
+const FILL_TIME: Duration = Duration::from_secs(8);
+/// Time of the records in tests without a running fleet.
+const REPORTED_AT: Duration = Duration::from_secs(100);
+/// Control traffic allowed for one node, in bytes per second.
+const MAX_BYTES_PER_SECOND: usize = 7_000;
+
+/// Returns a record of a full server with this wait.
+fn waiting_record(server: usize, wait_ms: u32) -> CapacityRecord {
+    CapacityRecord {
+        id: upstream(server),
+        incarnation: NodeIncarnation(1_790_000_000_000),
+        sequence: 10,
+        in_use: SLOTS,
+        limit: SLOTS,
+        queued: 20,
+        expected_wait_ms: wait_ms,
+        mean_run_ms: 900,
+        failing: 0,
+        repeats: 1,
+        age_ms: 0,
+    }
+}
+
+/// Returns an idle fleet in which all nodes have the same records of all servers.
+fn informed_fleet<F>(record_of: F) -> CapacityFleet
+where
+    F: Fn(usize) -> CapacityRecord,
+{
+    let mut fleet = CapacityFleet::new(NODES, SERVERS);
+    fleet.now = REPORTED_AT;
+    for node in &mut fleet.nodes {
+        for server in 0..SERVERS {
+            let merged = node.table_mut().merge(REPORTED_AT, record_of(server));
+            merged.expect("a valid record");
+        }
+    }
+    fleet
+}
+
+/// Returns the table of a node without a server that has one record.
+fn table_with(record: CapacityRecord) -> CapacityTable {
+    let mut table = CapacityTable::new(upstream(NODES).node);
+    assert_eq!(table.merge(REPORTED_AT, record), Ok(true));
+    table
+}
+
+fn expected_time(fleet: &CapacityFleet, node: usize, server: usize) -> Option<ExpectedTime> {
+    let node = &fleet.nodes[node];
+    node.pool
+        .expected_time(fleet.now, node.table(), upstream(server))
+}
+
+// Guards against 76 nodes that all send to the server with the shortest queue, at 2.5 times the
+// load that the servers can run.
+#[test]
+fn queues_of_an_overloaded_fleet_stay_level() {
+    let mut fleet = CapacityFleet::new(NODES, SERVERS);
+    let rate = fleet.capacity() * 2.5;
+    fleet.run_for(FILL_TIME, rate);
+    for _ in 0..10 {
+        fleet.run_for(Duration::from_millis(200), rate);
+        let (greatest, mean) = fleet.queues();
+        assert!(greatest < mean * 1.3, "{greatest} waiting, mean {mean}");
+    }
+}
+
+// Guards against requests that are offered to one full server after the other, at 2.5 times the
+// load, and against refusals that leave servers idle.
+#[test]
+fn overloaded_fleet_makes_few_offers_and_keeps_its_throughput() {
+    let mut fleet = CapacityFleet::new(NODES, SERVERS);
+    let rate = fleet.capacity() * 2.5;
+    fleet.run_for(FILL_TIME, rate);
+    let before = fleet.counts;
+    fleet.run_for(Duration::from_secs(4), rate);
+    let ended = f64::from(fleet.counts.ended - before.ended);
+    let offers = f64::from(fleet.counts.offers - before.offers);
+    assert!(offers / ended < 1.5, "{offers} offers of {ended} requests");
+    let served = f64::from(fleet.counts.served - before.served);
+    let possible = fleet.capacity() * 4.0;
+    assert!(served > possible * 0.97, "{served} of {possible} served");
+    assert!(fleet.counts.refused_at_once > 0, "none refused at once");
+}
+
+// Guards against queues that build up at some servers while others have free slots, at nine tenths
+// of the load that the servers can run.
+#[test]
+fn queues_stay_short_below_capacity() {
+    let mut fleet = CapacityFleet::new(NODES, SERVERS);
+    let rate = fleet.capacity() * 0.9;
+    fleet.run_for(FILL_TIME, rate);
+    let (greatest, mean) = fleet.queues();
+    assert!(
+        greatest <= f64::from(SLOTS),
+        "{greatest} waiting, mean {mean}"
+    );
+    assert_eq!(fleet.counts.refused_offers, 0);
+    assert_eq!(fleet.counts.refused_at_once, 0);
+}
+
+// Guards against nodes with the same records that all choose the server with the shortest wait.
+#[test]
+fn nodes_with_the_same_records_spread_their_choices() {
+    let mut fleet = informed_fleet(|server| {
+        let wait_ms = if server == 0 { 4_000 } else { 5_000 };
+        waiting_record(server, wait_ms)
+    });
+    fleet.now += Duration::from_millis(500);
+    let mut picks: BTreeMap<_, u32> = BTreeMap::new();
+    for _ in 0..10 {
+        for node in 0..NODES {
+            let picked = fleet.pick(node, &[]).expect("a candidate");
+            *picks.entry(picked).or_default() += 1;
+        }
+    }
+    let shortest = picks.get(&upstream(0)).copied().unwrap_or_default();
+    let others = 760.0 / count(SERVERS);
+    assert!(
+        f64::from(shortest) > others,
+        "{shortest} chose the shortest"
+    );
+    assert!(shortest < 760 / 6, "{shortest} chose the shortest");
+}
+
+// Guards against a node that ignores records and sends to a server with a wait of 20 s while others
+// start at once.
+#[test]
+fn server_with_a_long_wait_is_not_chosen() {
+    let mut fleet = informed_fleet(|server| {
+        let slow = waiting_record(server, 20_000);
+        let idle = CapacityRecord {
+            in_use: 3,
+            queued: 0,
+            ..waiting_record(server, 0)
+        };
+        if server == 4 { slow } else { idle }
+    });
+    for node in SERVERS..NODES {
+        assert_ne!(fleet.pick(node, &[]), Some(upstream(4)));
+    }
+}
+
+// Guards against absurd records that change what a node knows, and against records of the
+// receiver's own server that peers relay.
+#[test]
+fn implausible_and_relayed_own_records_change_nothing() {
+    let good = waiting_record(1, 500);
+    let mut table = table_with(good);
+    let newer = CapacityRecord {
+        sequence: 11,
+        ..good
+    };
+    let absurd = [
+        CapacityRecord { limit: 0, ..newer },
+        CapacityRecord {
+            limit: 4_097,
+            ..newer
+        },
+        CapacityRecord {
+            in_use: 4_097,
+            ..newer
+        },
+        CapacityRecord {
+            expected_wait_ms: 60_001,
+            ..newer
+        },
+        CapacityRecord {
+            mean_run_ms: u32::MAX,
+            ..newer
+        },
+        CapacityRecord {
+            age_ms: 60_001,
+            ..newer
+        },
+    ];
+    for record in absurd {
+        assert!(table.merge(REPORTED_AT, record).is_err(), "{record:?}");
+    }
+    let own = waiting_record(NODES, 500);
+    assert_eq!(table.merge(REPORTED_AT, own), Ok(false));
+    assert_eq!(table.record(REPORTED_AT, own.id), None);
+    assert_eq!(table.record(REPORTED_AT, good.id), Some(good));
+    assert_eq!(table.status(REPORTED_AT), (1, Duration::ZERO));
+    let error = CapacityRecord { limit: 0, ..newer }.validate();
+    assert_eq!(
+        error,
+        Err(CapacityError::Limit {
+            in_use: SLOTS,
+            limit: 0
+        })
+    );
+}
+
+// Guards against reports that arrive out of order, or from before a restart of the daemon.
+#[test]
+fn only_newer_records_replace_known_ones() {
+    let good = waiting_record(1, 500);
+    let mut table = table_with(good);
+    let repeated = CapacityRecord {
+        expected_wait_ms: 0,
+        ..good
+    };
+    let earlier_life = CapacityRecord {
+        incarnation: NodeIncarnation(1_789_000_000_000),
+        sequence: 99,
+        ..good
+    };
+    for record in [repeated, earlier_life] {
+        assert_eq!(table.merge(REPORTED_AT, record), Ok(false));
+    }
+    let next_life = CapacityRecord {
+        incarnation: NodeIncarnation(1_791_000_000_000),
+        sequence: 1,
+        ..good
+    };
+    assert_eq!(table.merge(REPORTED_AT, next_life), Ok(true));
+}
+
+// Guards against decisions on information from before a pause of ten seconds, or from before the
+// clock stepped back.
+#[test]
+fn records_expire_after_a_pause_and_when_the_clock_steps_back() {
+    let paused = REPORTED_AT + Duration::from_secs(10);
+    let stepped_back = Duration::from_secs(99);
+    assert!(stepped_back < REPORTED_AT);
+    for now in [paused, stepped_back] {
+        let mut fleet = informed_fleet(|server| waiting_record(server, 30_000));
+        assert!(fleet.forecast(0).is_some());
+        fleet.now = now;
+        assert!(!fleet.nodes[0].table().has_reports(now));
+        assert_eq!(fleet.forecast(0), None);
+        assert!(fleet.pick(0, &[]).is_some());
+        let table = fleet.nodes[0].table_mut();
+        table.expire(now);
+        assert_eq!(table.status(now), (0, Duration::ZERO));
+        assert_eq!(table.merge(now, waiting_record(1, 500)), Ok(true));
+    }
+}
+
+// Guards against old estimates that count as much as fresh ones.
+#[test]
+fn estimates_approach_the_mean_of_the_service() {
+    let mut fleet = informed_fleet(|server| {
+        let wait_ms = if server == 0 { 0 } else { 6_400 };
+        waiting_record(server, wait_ms)
+    });
+    let wait = |fleet: &CapacityFleet| expected_time(fleet, NODES - 1, 0).expect("known").wait;
+    assert_eq!(wait(&fleet), Duration::ZERO);
+    fleet.now = REPORTED_AT + Duration::from_secs(2);
+    let after_constant = wait(&fleet).as_secs_f64() / 6.3;
+    assert!(
+        (0.60..0.66).contains(&after_constant),
+        "{after_constant} of the mean"
+    );
+}
+
+// Guards against a node that sends many requests to one server before the next report of it.
+#[test]
+fn own_requests_since_the_report_count() {
+    let mut fleet = informed_fleet(|server| CapacityRecord {
+        in_use: SLOTS - 2,
+        queued: 0,
+        ..waiting_record(server, 0)
+    });
+    let node = NODES - 1;
+    let sent_at = REPORTED_AT + Duration::from_millis(1);
+    fleet.now = sent_at;
+    for _ in 0..2 {
+        fleet.nodes[node].table_mut().sent(sent_at, upstream(0));
+    }
+    let two = expected_time(&fleet, node, 0).expect("known").wait;
+    assert!(two < Duration::from_millis(1), "{two:?}");
+    for _ in 0..3 {
+        fleet.nodes[node].table_mut().sent(sent_at, upstream(0));
+    }
+    let five = expected_time(&fleet, node, 0).expect("known").wait;
+    let runs = five.as_secs_f64() / MEAN_RUN.as_secs_f64();
+    assert!((0.19..0.21).contains(&runs), "{runs} runs");
+    for _ in 0..5 {
+        fleet.nodes[node].table_mut().ended(upstream(0), sent_at);
+    }
+    let ended = expected_time(&fleet, node, 0).expect("known").wait;
+    assert!(ended < Duration::from_millis(1), "{ended:?}");
+}
+
+// Guards against a report that is preferred to a newer hint from the same server, and the reverse.
+#[test]
+fn newer_hint_replaces_the_report() {
+    let mut fleet = informed_fleet(|server| waiting_record(server, 5_000));
+    let node = NODES - 1;
+    let idle = LoadHint {
+        in_use: 1,
+        slots: SLOTS,
+        ..LoadHint::default()
+    };
+    let hinted_at = REPORTED_AT + Duration::from_millis(10);
+    fleet.now = hinted_at;
+    fleet.nodes[node].pool.hint(hinted_at, upstream(0), idle);
+    let hinted = expected_time(&fleet, node, 0).expect("known").wait;
+    assert_eq!(hinted, Duration::ZERO);
+    let reported = CapacityRecord {
+        sequence: 11,
+        ..waiting_record(0, 4_000)
+    };
+    fleet.now = hinted_at + Duration::from_millis(10);
+    let table = fleet.nodes[node].table_mut();
+    assert_eq!(table.merge(fleet.now, reported), Ok(true));
+    let wait = expected_time(&fleet, node, 0).expect("known").wait;
+    assert_eq!(wait, Duration::from_secs(4));
+}
+
+// Guards against refusals of requests that a server could start at once, and of requests at a node
+// that knows few of the servers.
+#[test]
+fn forecast_refuses_only_what_no_server_can_serve() {
+    let left = Duration::from_millis(5_500);
+    let mut full = informed_fleet(|server| waiting_record(server, 5_000));
+    let forecast = full.forecast(NODES - 1).expect("known servers");
+    assert_eq!(forecast.excess(left), Some(Duration::from_millis(400)));
+    assert_eq!(forecast.excess(Duration::from_secs(6)), None);
+    let mut open = informed_fleet(|server| {
+        let full = waiting_record(server, 5_000);
+        let free = CapacityRecord {
+            in_use: 3,
+            queued: 0,
+            ..waiting_record(server, 0)
+        };
+        if server == 9 { free } else { full }
+    });
+    let forecast = open.forecast(NODES - 1).expect("known servers");
+    assert_eq!(forecast.excess(Duration::from_millis(100)), None);
+    let mut unknown = CapacityFleet::new(NODES, SERVERS);
+    unknown.now = REPORTED_AT;
+    let table = unknown.nodes[NODES - 1].table_mut();
+    assert_eq!(table.merge(REPORTED_AT, waiting_record(0, 5_000)), Ok(true));
+    let forecast = unknown.forecast(NODES - 1).expect("a known server");
+    assert_eq!(forecast.excess(left), None);
+}
+
+// Guards against repeats that are offered to servers which must refuse them.
+#[test]
+fn repeats_prefer_servers_that_report_repeats_left() {
+    let mut fleet = informed_fleet(|server| CapacityRecord {
+        repeats: u16::from(server == 12),
+        ..waiting_record(server, 2_000)
+    });
+    let terms = SoonestTerms {
+        kind: 1,
+        objective_left: Duration::from_secs(4),
+        is_repeat: true,
+    };
+    let node = &mut fleet.nodes[0];
+    let table = node.tables[&service()].clone();
+    let picked = node.pool.pick_soonest(fleet.now, &table, &[], &terms);
+    assert_eq!(picked, Some(upstream(12)));
+}
+
+// Guards against nodes that decide by old records of the unreachable half of the fleet, and against
+// records that do not return after the cut.
+#[test]
+fn each_half_of_a_cut_fleet_knows_its_own_servers() {
+    let mut fleet = CapacityFleet::new(NODES, SERVERS);
+    let rate = fleet.capacity() * 0.1;
+    fleet.run_for(Duration::from_secs(4), rate);
+    assert_eq!(known_servers(&fleet, 0), SERVERS);
+    fleet.is_cut = true;
+    fleet.run_for(Duration::from_secs(6), rate);
+    assert_eq!(known_servers(&fleet, 0), NODES / 2);
+    assert_eq!(known_servers(&fleet, NODES - 1), SERVERS - NODES / 2);
+    assert!(fleet.forecast(0).is_some());
+    fleet.is_cut = false;
+    fleet.run_for(Duration::from_secs(4), rate);
+    assert_eq!(known_servers(&fleet, NODES - 1), SERVERS);
+}
+
+fn known_servers(fleet: &CapacityFleet, node: usize) -> usize {
+    fleet.nodes[node].table().status(fleet.now).0
+}
+
+// Guards against reports and control traffic that grow with the fleet.
+#[test]
+fn reports_are_bounded_in_fleets_of_76_and_2300() {
+    for nodes in [76, 2_300] {
+        let mut fleet = CapacityFleet::exchange_only(nodes);
+        let seconds = 4;
+        fleet.run_for(Duration::from_secs(seconds), 0.0);
+        let seconds = usize::try_from(seconds).expect("a few seconds");
+        for node in &fleet.nodes {
+            assert!(node.largest_report <= REPORT_SIZE);
+            let rate = node.bytes_sent / seconds;
+            assert!(rate < MAX_BYTES_PER_SECOND, "{rate} bytes per second");
+        }
+        let largest = fleet.nodes.iter().map(|node| node.largest_report).max();
+        assert!(largest > Some(REPORT_SIZE * 9 / 10), "{largest:?}");
+    }
+}
+
+// Guards against a size limit that is computed from other sizes than those of the encoding.
+#[test]
+fn computed_size_is_that_of_the_encoding() {
+    let records = [
+        waiting_record(3, 0),
+        CapacityRecord {
+            sequence: 70_000,
+            queued: 251,
+            expected_wait_ms: 60_000,
+            failing: 255,
+            repeats: 300,
+            age_ms: 4_999,
+            ..waiting_record(3, 0)
+        },
+    ];
+    for record in records {
+        let encoded = bincode::serde::encode_to_vec(record, bincode::config::standard());
+        assert_eq!(encoded.expect("encodes").len(), record.encoded_size());
+        let tables = BTreeMap::from([(service(), table_with(record))]);
+        let report = select_freshest(REPORTED_AT, &tables, REPORT_SIZE);
+        let bytes = report_bytes(&report);
+        assert_eq!(
+            select_freshest(REPORTED_AT, &tables, bytes + 2),
+            report,
+            "fits into its size and two bytes for a longer list"
+        );
+        assert!(select_freshest(REPORTED_AT, &tables, bytes - 1).is_empty());
+    }
+}
