Exchange capacity reports and refuse by forecast

Without a valid record of another node nothing changes.

The lines of sent attempts and of refusals name the expected time, the forecast and their age. SL8014 reports an implausible record, and four metrics show what is known and what it refuses.

--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -158,6 +158,16 @@
             NodeNote::UpstreamGone { id, service } => {
                 self.emit_upstream(EventCode::UpstreamGone, id, service);
             }
+            NodeNote::CapacityReportInvalid {
+                from,
+                service,
+                id,
+                error,
+            } => {
+                let fields = EventFields::new().peer(from).service(service);
+                let fields = fields.upstream(id).reason(error);
+                self.emit(EventCode::CapacityReportInvalid, &fields);
+            }
             _ => self.record_request_progress(note),
         }
         None
--- a/crates/daemon/src/notes/attempts.rs
+++ b/crates/daemon/src/notes/attempts.rs
@@ -2,7 +2,7 @@
 //! upstream's node, and the result.
 
 use sycamorelink_engine::{NodeNote, RepeatBudgetView};
-use sycamorelink_policy::UpstreamView;
+use sycamorelink_policy::{ExpectedTime, UpstreamView};
 use sycamorelink_telemetry::{EventCode, EventFields, MetricName};
 
 use super::NoteRecorder;
@@ -20,11 +20,13 @@
                 version,
                 left,
                 view,
+                expected,
             } => {
                 let reason = format!(
-                    "attempt {number}, route {prefix}, {}",
+                    "attempt {number}, route {prefix}, {}{}",
                     view.as_ref()
-                        .map_or_else(|| "no view".to_owned(), view_text)
+                        .map_or_else(|| "no view".to_owned(), view_text),
+                    expected.as_ref().map_or_else(String::new, expected_text)
                 );
                 let left = format!("{}ms", left.as_millis());
                 let fields = EventFields::new().request(label).service(service);
@@ -91,6 +93,15 @@
     format!(", repeat ({left} left at this server, {servers} servers known)")
 }
 
+fn expected_text(expected: &ExpectedTime) -> String {
+    format!(
+        ", expected wait {}ms and run {}ms by information of {}ms ago",
+        expected.wait.as_millis(),
+        expected.run.as_millis(),
+        expected.age.as_millis()
+    )
+}
+
 fn view_text(view: &UpstreamView) -> String {
     let reported = view.told.map_or_else(
         || "nothing told".to_owned(),
--- a/crates/daemon/src/notes/periodic.rs
+++ b/crates/daemon/src/notes/periodic.rs
@@ -59,6 +59,13 @@
             let key = SeriesKey::of(MetricName::QueueLength).service(service);
             self.metrics.set(key, *queued);
         }
+        for status in engine.capacity_status() {
+            let key = SeriesKey::of(MetricName::CapacityRecords).service(&status.service);
+            self.metrics.set(key, status.records as u64);
+            let oldest = u64::try_from(status.oldest.as_millis()).unwrap_or(u64::MAX);
+            let key = SeriesKey::of(MetricName::CapacityAge).service(&status.service);
+            self.metrics.set(key, oldest);
+        }
     }
 
     fn update_member_gauges(&mut self, engine: &NodeEngine) {
--- a/crates/daemon/src/notes/requests.rs
+++ b/crates/daemon/src/notes/requests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sycamorelink_core::{RefusalCode, RequestRefusal, RunState};
-use sycamorelink_engine::RequestSummary;
+use sycamorelink_engine::{RefusedForecast, RequestSummary};
 use sycamorelink_telemetry::burn::{ObjectiveSource, RequestEnd};
 use sycamorelink_telemetry::{BurnOutcome, EventCode, EventFields, MetricName};
 
@@ -60,6 +60,14 @@
             self.metrics.record(latency, summary.latency);
             let attempts = SeriesKey::of(MetricName::Attempts).service(service);
             self.metrics.add(attempts, u64::from(summary.attempts));
+            if summary.overloaded_offers > 0 {
+                let offers = SeriesKey::of(MetricName::OverloadedOffers).service(service);
+                self.metrics
+                    .add(offers, u64::from(summary.overloaded_offers));
+            }
+            if summary.forecast.is_some() {
+                self.increment(SeriesKey::of(MetricName::ForecastRefused).service(service));
+            }
         }
         self.increment(requests);
     }
@@ -91,7 +99,9 @@
     }
 
     fn emit_settled(&self, code: EventCode, summary: &RequestSummary) {
-        let attempts = format!("attempts {}", summary.attempts);
+        let forecast = summary.forecast.as_ref();
+        let forecast = forecast.map_or_else(String::new, forecast_text);
+        let attempts = format!("attempts {}{forecast}", summary.attempts);
         let took = format!("{}ms", summary.latency.as_millis());
         let status = summary.status.unwrap_or_default();
         let mut fields = EventFields::new().request(&summary.label);
@@ -112,6 +122,19 @@
     }
 }
 
+fn forecast_text(refused: &RefusedForecast) -> String {
+    let forecast = &refused.forecast;
+    format!(
+        ", forecast: wait {}ms, run {}ms, {}ms left, {} of {} upstreams known, {}ms old",
+        forecast.earliest.wait.as_millis(),
+        forecast.earliest.run.as_millis(),
+        refused.left.as_millis(),
+        forecast.known,
+        forecast.candidates,
+        forecast.earliest.age.as_millis()
+    )
+}
+
 fn request_end(summary: &RequestSummary) -> RequestEnd {
     match (&summary.refusal, summary.status) {
         (Some(refusal), _) => RequestEnd::Refusal(refusal.clone()),
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -71,6 +71,7 @@
                 from: attempt.upstream,
             }));
         }
+        self.count_send_end(&service, attempt.upstream, attempt.sent);
         if let Some(pool) = self.pools.get_mut(&service) {
             let mut sample = sample_of(report, now.saturating_sub(attempt.sent));
             // Under a fleet contract the breaker beside the upstream accounts for failures that its
@@ -135,6 +136,7 @@
         let declined = report.kind == SampleKind::Refused && by_server;
         state.arrivals += u16::from(report.run != RunState::NotRun || declined);
         state.repeats_refused += u16::from(report.code == Some(RefusalCode::RepeatsSpent));
+        state.overloaded_offers += u16::from(report.code == Some(RefusalCode::Overloaded));
         if rejected {
             state.rejected_by.push(attempt.upstream);
         }
@@ -159,6 +161,10 @@
         report: &AttemptReport,
         out: &mut Vec<NodeCommand>,
     ) {
+        if let Some(refusal) = self.overload_refusal(now, id, Some(report)) {
+            self.refuse(now, id, refusal, out);
+            return;
+        }
         let Some(state) = self.requests.get(&id) else {
             return;
         };
@@ -315,6 +321,7 @@
         kind: SampleKind,
         out: &mut Vec<NodeCommand>,
     ) {
+        self.count_send_end(service, attempt.upstream, attempt.sent);
         if let Some(pool) = self.pools.get_mut(service) {
             let sample = UpstreamSample::new(kind, now.saturating_sub(attempt.sent));
             pool.observe(now, attempt.upstream, &sample);
@@ -420,6 +427,8 @@
                 status,
                 latency: now.saturating_sub(state.arrived),
                 attempts: state.attempts,
+                overloaded_offers: state.overloaded_offers,
+                forecast: state.forecast,
             },
         )));
     }
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -8,6 +8,7 @@
 use sycamorelink_policy::{PolicyMechanism, ServicePool};
 
 use crate::budgets::budget_entry;
+use crate::capacity::soonest_terms;
 use crate::command::{AttemptOrder, NodeCommand};
 use crate::event::{ArrivalKind, WorkTerms};
 use crate::node::{NodeEngine, TimerPurpose};
@@ -55,8 +56,11 @@
         self.ensure_pool(now, &service);
         self.pool_used.insert(service.clone(), now);
         self.avoided_upstreams.retain(|_, until| *until > now);
+        let by_time = by_cost && self.prepare_capacity(now, &service);
         let state = self.requests.get(&id)?;
         let kind = state.rule.work_kind();
+        let soonest_terms = soonest_terms(now, state);
+        let table = self.capacity.tables.get(&service).filter(|_| by_time);
         let pool = self.pools.get_mut(&service)?;
         let tried = state.plan.exclude();
         let tried = tried.as_slice();
@@ -73,7 +77,9 @@
             if seeks_trial && let Some(avoided) = pool.pick_trial(now, exclude, kind) {
                 return Some(avoided);
             }
-            if by_cost {
+            if let Some(table) = table {
+                pool.pick_soonest(now, table, exclude, &soonest_terms)
+            } else if by_cost {
                 pool.pick_cheapest(now, exclude, kind)
             } else {
                 pool.pick(now, exclude)
@@ -167,6 +173,10 @@
         id: RequestId,
         out: &mut Vec<NodeCommand>,
     ) {
+        if let Some(refusal) = self.overload_refusal(now, id, None) {
+            self.refuse(now, id, refusal, out);
+            return;
+        }
         let Some((upstream, _)) = self.select_upstream(now, id) else {
             self.refuse_no_upstream(now, id, out);
             return;
@@ -189,6 +199,7 @@
         let Some(executor) = self.instance_of(upstream.node) else {
             return;
         };
+        let expected = self.expected_time(now, id, upstream);
         let Some(state) = self.requests.get_mut(&id) else {
             return;
         };
@@ -207,6 +218,9 @@
         if let Some(pool) = self.pools.get_mut(&state.rule.service) {
             pool.sent(now, upstream);
         }
+        if let Some(table) = self.capacity.tables.get_mut(&state.rule.service) {
+            table.sent(now, upstream);
+        }
         let order = AttemptOrder {
             attempt: AttemptId {
                 request: id,
@@ -245,6 +259,7 @@
                 .pools
                 .get(&order.service)
                 .and_then(|pool| pool.upstream_view(now, upstream)),
+            expected,
         }));
         out.push(NodeCommand::Dispatch(Box::new(order)));
     }
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -70,6 +70,8 @@
                     status: None,
                     latency: Duration::ZERO,
                     attempts: 0,
+                    overloaded_offers: 0,
+                    forecast: None,
                 };
                 out.push(NodeCommand::Refuse {
                     request: id,
@@ -139,6 +141,8 @@
             arrivals: 0,
             first_arrival,
             repeats_refused: 0,
+            overloaded_offers: 0,
+            forecast: None,
             last: None,
             last_upstream: None,
             crashed_twice: false,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 mod announcing;
 mod breaker;
 mod budgets;
+mod capacity;
 mod command;
 mod completion;
 mod contact;
@@ -57,6 +58,7 @@
 mod settings;
 mod status;
 
+pub use capacity::{CapacityStatus, RefusedForecast};
 pub use command::{AttemptOrder, NodeCommand};
 pub use event::{
     ArrivalKind, AttemptReport, CallerRequest, LifeId, LimitNotice, LogEntry, LogStream, NodeEvent,
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -329,6 +329,9 @@
             PeerMessage::SourceSeen { age } => self.fleet.follow.on_empty_source(now, age),
             PeerMessage::Quota(message) => self.on_quota_message(now, from, message),
             PeerMessage::Leaving(message) => self.on_leaving_message(now, from, message, out),
+            PeerMessage::Capacity { service, records } => {
+                self.on_capacity(now, from, &service, &records, out);
+            }
         }
     }
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -7,7 +7,7 @@
 use sycamorelink_core::{AttemptId, CustomerName, InstanceId, ServiceName, UpstreamId};
 use sycamorelink_guard::GuardMessage;
 use sycamorelink_limits::{CrashMessage, QuotaMessage, ShareMember, ShareMessage};
-use sycamorelink_policy::{LoadHint, UpstreamEvidence};
+use sycamorelink_policy::{CapacityRecord, LoadHint, UpstreamEvidence};
 use sycamorelink_roster::RosterMessage;
 
 use crate::leaving::LeavingMessage;
@@ -127,6 +127,13 @@
     ServerLimit(LimitedServer),
     /// The limits that the sender has stored for the receiver.
     StoredLimits(Vec<LimitedServer>),
+    /// The freshest capacity records that the sender knows. Sent only where overload control is on.
+    Capacity {
+        /// Service of the upstreams.
+        service: ServiceName,
+        /// Records of the sender's upstreams, and of those of other nodes.
+        records: Vec<CapacityRecord>,
+    },
 }
 
 /// Contracts that a node requests from a peer.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -15,6 +15,7 @@
 use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
 
+use crate::capacity::CapacityExchange;
 use crate::command::NodeCommand;
 use crate::discovery::DiscoveryState;
 use crate::dispatch::OVERDUE_AVOIDANCE;
@@ -91,6 +92,7 @@
     pub(crate) quotas: QuotaState,
     pub(crate) leaving_records: LeavingRecords,
     pub(crate) limit_records: LimitRecords,
+    pub(crate) capacity: CapacityExchange,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
     pub(crate) shares: ShareNode,
@@ -178,6 +180,7 @@
         let quotas = QuotaState::new(settings.quota, seed);
         let fleet = FleetState::new(settings.first_start, seed);
         let discovery = DiscoveryState::new(settings.first_start);
+        let capacity = CapacityExchange::new(own.instance.node, seed);
         let looks_up_leaving = settings.contracts == ContractMode::Fleet && !settings.first_start;
         let leaving_records = if looks_up_leaving {
             LeavingRecords::default()
@@ -201,6 +204,7 @@
             quotas,
             leaving_records,
             limit_records: LimitRecords::default(),
+            capacity,
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
             pool_used: BTreeMap::new(),
@@ -410,6 +414,7 @@
             self.pull_fleet_contract(now, out);
             self.tick_quotas(now, out);
             self.tick_holder_counts(now);
+            self.tick_capacity(now, out);
         } else {
             self.maintain_contracts(now, out);
             self.pull_contracts(now, out);
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -9,9 +9,12 @@
     UpstreamId,
 };
 use sycamorelink_guard::GuardNote;
-use sycamorelink_policy::{LoadHint, PoolFinding, SampleKind, UpstreamView};
+use sycamorelink_policy::{
+    CapacityError, ExpectedTime, LoadHint, PoolFinding, SampleKind, UpstreamView,
+};
 use sycamorelink_roster::{DownCause, RosterNote};
 
+use crate::capacity::RefusedForecast;
 use crate::event::WorkEnd;
 use crate::repeats::RepeatBudgetView;
 
@@ -148,6 +151,8 @@
         left: Duration,
         /// State of the upstream when it was selected; `None` if the pool did not know it.
         view: Option<UpstreamView>,
+        /// Expected time to the reply; `None` where no capacity reports are known.
+        expected: Option<ExpectedTime>,
     },
     /// The node beside an upstream accepted or refused offered work.
     WorkDecided {
@@ -352,6 +357,18 @@
         /// Service of the upstream.
         service: ServiceName,
     },
+    /// A peer sent an implausible capacity record, which was dropped. At most one per second and
+    /// sender.
+    CapacityReportInvalid {
+        /// Sender of the report, which need not be the node beside the upstream.
+        from: InstanceId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// The implausible value.
+        error: CapacityError,
+    },
 }
 
 /// The outcome of one request.
@@ -373,4 +390,8 @@
     pub latency: std::time::Duration,
     /// Number of attempts that were sent.
     pub attempts: u16,
+    /// Number of attempts that were refused as overloaded by the node beside the upstream.
+    pub overloaded_offers: u16,
+    /// The forecast that refused the request; `None` otherwise.
+    pub forecast: Option<RefusedForecast>,
 }
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -117,6 +117,17 @@
         Some(RepeatBudgetView { servers, left })
     }
 
+    /// Returns the number of whole repeats left at a local backend server; zero where executors do
+    /// not count repeats.
+    pub(crate) fn repeats_left(&mut self, now: Duration, slot: u16) -> u16 {
+        if !self.counts_repeats_at_executor() {
+            return 0;
+        }
+        let budgets = self.repeat_budgets(now, slot);
+        let left = budgets.map_or(0, |budgets| budgets.all.balance(now));
+        u16::try_from(left).unwrap_or(u16::MAX)
+    }
+
     /// Refunds the repeat of work that is not forwarded to its server.
     pub(crate) fn refund_repeat(&mut self, now: Duration, work: WorkId) {
         let state = self.works.get(&work);
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -9,6 +9,7 @@
 use sycamorelink_limits::{CrashSignature, CustomerIndex};
 use sycamorelink_policy::RetryPlan;
 
+use crate::capacity::RefusedForecast;
 use crate::event::{ArrivalKind, AttemptReport, CallerRequest, LifeId, WorkOffer};
 
 /// Phase of a request at its ingress node.
@@ -89,6 +90,10 @@
     pub first_arrival: ArrivalKind,
     /// Number of attempts that an executor refused because of the bound on repeats.
     pub repeats_refused: u16,
+    /// Number of attempts that an executor refused as overloaded.
+    pub overloaded_offers: u16,
+    /// The forecast that refused the request; `None` otherwise.
+    pub forecast: Option<RefusedForecast>,
     /// Last failed attempt, from which the final answer is made.
     pub last: Option<AttemptReport>,
     /// Upstream of the last failed attempt.
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -17,11 +17,12 @@
 };
 use sycamorelink_core::{
     AttemptId, CustomerName, InstanceId, NodeId, NodeIncarnation, RequestId, RunState, ServiceName,
+    UpstreamId,
 };
 use sycamorelink_engine::{
     AttemptOrder, AttemptReport, CallerRequest, ContractAsk, ContractMode, EngineSettings,
-    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, ServerNotice,
-    UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
+    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, NodeNote, PeerMessage,
+    RefusedForecast, ServerNotice, UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_limits::WorkId;
@@ -98,6 +99,8 @@
     pub jitter: u64,
     /// Whether gossip datagrams are lost.
     pub gossip_lost: bool,
+    /// Whether capacity reports are lost.
+    pub capacity_lost: bool,
     /// Percentage of appends that are repeated because their reply was lost.
     pub duplicated_appends: u32,
     /// Nodes of an older build, which cannot read requests for patches.
@@ -130,6 +133,12 @@
     uplinks_busy_until: BTreeMap<NodeId, Duration>,
     /// The same for the link of each node that receives them.
     downlinks_busy_until: BTreeMap<NodeId, Duration>,
+    /// Bytes of the capacity reports that each node sent.
+    pub capacity_bytes: BTreeMap<NodeId, usize>,
+    /// Events about invalid capacity reports, with the upstream that each names.
+    pub invalid_reports: Vec<UpstreamId>,
+    /// Forecasts that refused requests.
+    pub forecasts: BTreeMap<RequestId, RefusedForecast>,
     /// Number of requests for the fleet contract as JSON.
     pub json_pulls: u32,
     /// Number of contract requests that each node received.
@@ -140,8 +149,8 @@
     domains: Option<u8>,
     /// Whether the whole fleet starts for the first time.
     first_start: bool,
-    /// Gossip limit of each node in bytes per second; `None` for the default.
-    gossip_bytes: Option<u32>,
+    /// Settings of each node, apart from those that the fields here determine.
+    settings: EngineSettings,
     /// The fleet contract that nodes start with; `None` when per-customer contracts are in the log.
     fleet: Option<Arc<FleetContract>>,
     /// Frozen nodes, with the events that wait for them.
@@ -188,7 +197,7 @@
     /// Starts a fleet for the first time, while its contract is not at its source yet. Each node
     /// finds the nodes started before it in the directory.
     pub fn start_fleet_first(domains: u8, count: u8) -> Self {
-        let mut world = Self::start_all(0, None, Some(domains), None);
+        let mut world = Self::start_all(0, None, Some(domains), EngineSettings::default());
         world.first_start = true;
         for number in 0..count {
             world.start_node(number, 1);
@@ -200,7 +209,21 @@
 
     /// Starts nodes under a fleet contract with a gossip limit in bytes per second for each node.
     pub fn start_fleet_with_gossip(count: u8, contract: FleetContract, bytes: u32) -> Self {
-        Self::start_all(count, Some(Arc::new(contract)), None, Some(bytes))
+        let mut settings = EngineSettings::default();
+        settings.roster.bytes_per_second = bytes;
+        settings.roster.burst_bytes = bytes;
+        Self::start_all(count, Some(Arc::new(contract)), None, settings)
+    }
+
+    /// Starts nodes with these settings under a fleet contract, spread over a number of failure
+    /// domains.
+    pub fn start_fleet_with(
+        domains: u8,
+        count: u8,
+        contract: FleetContract,
+        settings: EngineSettings,
+    ) -> Self {
+        Self::start_all(count, Some(Arc::new(contract)), Some(domains), settings)
     }
 
     /// Starts nodes under a fleet contract, spread over a number of failure domains.
@@ -209,14 +232,14 @@
     }
 
     fn start_with(count: u8, fleet: Option<Arc<FleetContract>>, domains: Option<u8>) -> Self {
-        Self::start_all(count, fleet, domains, None)
+        Self::start_all(count, fleet, domains, EngineSettings::default())
     }
 
     fn start_all(
         count: u8,
         fleet: Option<Arc<FleetContract>>,
         domains: Option<u8>,
-        gossip_bytes: Option<u32>,
+        settings: EngineSettings,
     ) -> Self {
         let mut world = Self {
             now: Duration::ZERO,
@@ -235,13 +258,16 @@
             network: NetworkFaults::default(),
             uplinks_busy_until: BTreeMap::new(),
             downlinks_busy_until: BTreeMap::new(),
+            capacity_bytes: BTreeMap::new(),
+            invalid_reports: Vec::new(),
+            forecasts: BTreeMap::new(),
             json_pulls: 0,
             pulls: BTreeMap::new(),
             followers: BTreeSet::new(),
             domains,
             fleet,
             first_start: false,
-            gossip_bytes,
+            settings,
             frozen: BTreeMap::new(),
             started_at: BTreeMap::new(),
             cursors: BTreeMap::new(),
@@ -291,16 +317,12 @@
         let wall = WALL + self.now;
         let mut settings = EngineSettings {
             first_start: self.first_start,
-            ..EngineSettings::default()
+            ..self.settings.clone()
         };
         if self.fleet.is_some() || self.first_start {
             settings.contracts = ContractMode::Fleet;
             settings.gate.warm_up = Duration::ZERO;
         }
-        if let Some(bytes) = self.gossip_bytes {
-            settings.roster.bytes_per_second = bytes;
-            settings.roster.burst_bytes = bytes;
-        }
         let engine = NodeEngine::new(facts, settings, wall, seed);
         self.started_at.insert(id, self.now);
         self.crashed_backends.remove(&id);
@@ -528,33 +550,14 @@
                 self.release(id);
             }
             NodeCommand::CancelAttempt { attempt } => self.cancel(id, attempt),
-            NodeCommand::SendPeer { to, message, .. } => {
-                if let PeerMessage::ContractPull {
-                    ask: ContractAsk::Fleet { .. },
-                } = message
-                {
-                    self.json_pulls += 1;
-                }
-                if matches!(message, PeerMessage::ContractPull { .. }) {
-                    *self.pulls.entry(to.node).or_default() += 1;
-                }
-                let current = self.engines.get(&to.node).map(NodeEngine::own_instance);
-                let Some(delay) = self
-                    .link_delay(id, to.node, true)
-                    .filter(|_| current == Some(to))
-                else {
-                    return;
-                };
-                if is_patch_pull(&message) && self.network.without_patches.contains(&to.node) {
-                    return;
-                }
-                let delay = delay + self.transfer_time(id, to.node, &message);
-                let event = NodeEvent::PeerReceived {
-                    from: self.engines[&id].own_instance(),
-                    message,
-                };
-                self.schedule(delay, QueuedItem::Event(to.node, Box::new(event)));
+            NodeCommand::Note(NodeNote::RequestSettled(summary)) => {
+                let forecast = summary.forecast.map(|forecast| (summary.request, forecast));
+                self.forecasts.extend(forecast);
+            }
+            NodeCommand::Note(NodeNote::CapacityReportInvalid { id, .. }) => {
+                self.invalid_reports.push(id);
             }
+            NodeCommand::SendPeer { to, message, .. } => self.send_message(id, to, message),
             NodeCommand::SendDatagram { to, message } => {
                 let from = self.addresses.iter().find(|(_, node)| **node == id);
                 let from = from.map(|(address, _)| *address);
@@ -584,6 +587,41 @@
         }
     }
 
+    fn send_message(&mut self, id: NodeId, to: InstanceId, message: PeerMessage) {
+        if let PeerMessage::Capacity { .. } = message {
+            let bytes = self.capacity_bytes.entry(id).or_default();
+            *bytes += encoded_size(&message);
+            if self.network.capacity_lost {
+                return;
+            }
+        }
+        if let PeerMessage::ContractPull {
+            ask: ContractAsk::Fleet { .. },
+        } = message
+        {
+            self.json_pulls += 1;
+        }
+        if matches!(message, PeerMessage::ContractPull { .. }) {
+            *self.pulls.entry(to.node).or_default() += 1;
+        }
+        let current = self.engines.get(&to.node).map(NodeEngine::own_instance);
+        let Some(delay) = self
+            .link_delay(id, to.node, true)
+            .filter(|_| current == Some(to))
+        else {
+            return;
+        };
+        if is_patch_pull(&message) && self.network.without_patches.contains(&to.node) {
+            return;
+        }
+        let delay = delay + self.transfer_time(id, to.node, &message);
+        let event = NodeEvent::PeerReceived {
+            from: self.engines[&id].own_instance(),
+            message,
+        };
+        self.schedule(delay, QueuedItem::Event(to.node, Box::new(event)));
+    }
+
     fn append(&mut self, stream: LogStream, bytes: Vec<u8>) {
         if !self.log_reachable {
             return;
@@ -626,6 +664,12 @@
     }
 }
 
+/// Returns the bytes of a message between nodes.
+fn encoded_size(message: &PeerMessage) -> usize {
+    let encoded = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    encoded.map_or(0, |bytes| bytes.len())
+}
+
 fn is_patch_pull(message: &PeerMessage) -> bool {
     let PeerMessage::ContractPull { ask } = message else {
         return false;
--- a/crates/engine/tests/session/world/work.rs
+++ b/crates/engine/tests/session/world/work.rs
@@ -40,8 +40,7 @@
         let Some(rate) = self.network.link_rate else {
             return Duration::ZERO;
         };
-        let encoded = bincode::serde::encode_to_vec(message, bincode::config::standard());
-        let duration = passing_time(encoded.map_or(0, |bytes| bytes.len()), rate);
+        let duration = passing_time(encoded_size(message), rate);
         let uplink = self.uplinks_busy_until.entry(from).or_default();
         *uplink = self.now.max(*uplink) + duration;
         let downlink = self.downlinks_busy_until.entry(to).or_default();
--- a/crates/policy/src/capacity/estimate.rs
+++ b/crates/policy/src/capacity/estimate.rs
@@ -20,6 +20,8 @@
     pub wait: Duration,
     /// Expected run time.
     pub run: Duration,
+    /// Age of the information on the upstream; that of an expired record if there is none.
+    pub age: Duration,
 }
 
 impl ExpectedTime {
@@ -41,8 +43,6 @@
     pub candidates: usize,
     /// Number of those with a valid record.
     pub known: usize,
-    /// Age of the information on the candidate with the earliest expected reply.
-    pub age: Duration,
 }
 
 impl CapacityForecast {
@@ -215,6 +215,7 @@
         ExpectedTime {
             wait: Duration::from_secs_f64(self.wait),
             run: Duration::from_secs_f64(self.run),
+            age: self.age,
         }
     }
 }
--- a/crates/policy/src/capacity/table.rs
+++ b/crates/policy/src/capacity/table.rs
@@ -96,9 +96,16 @@
         self.records.insert(record.id, stored);
     }
 
-    /// Removes the record of an upstream.
-    pub fn remove(&mut self, id: UpstreamId) {
-        self.records.remove(&id);
+    /// Removes the records of the node's own upstreams.
+    pub fn remove_own(&mut self) {
+        let own = self.own;
+        self.records.retain(|id, _| id.node != own);
+    }
+
+    /// Returns whether the table has neither records nor requests in flight.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.sends.is_empty()
     }
 
     /// Drops expired records.
--- a/crates/policy/src/soonest.rs
+++ b/crates/policy/src/soonest.rs
@@ -123,7 +123,6 @@
             has_free_slot: loads.iter().any(LoadEstimate::has_free_slot),
             candidates: loads.len(),
             known: known.count(),
-            age: earliest.age,
         })
     }
 
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -227,6 +227,7 @@
     8011 BurnFast Error "burn-fast" "a service burns its error budget fast";
     8012 BurnSlow Warn "burn-slow" "a service burns its error budget faster than it can bear";
     8013 BurnEnded Info "burn-ended" "a service is back within its error budget";
+    8014 CapacityReportInvalid Warn "capacity-report-invalid" "a peer sent an implausible capacity report and it was dropped";
 
     9001 PeerForeign Warn "peer-foreign" "a peer that is not of this fleet was refused";
     9002 PeerVersion Warn "peer-version" "a peer speaks an unknown version of the inner protocol";
--- a/crates/telemetry/src/event/entries/load.rs
+++ b/crates/telemetry/src/event/entries/load.rs
@@ -103,4 +103,13 @@
         meaning: "The short window is back below its threshold.",
         action: "Nothing. The budget that was used stays used until the window has passed.",
     },
+    EventEntry {
+        code: EventCode::CapacityReportInvalid,
+        reserved: false,
+        meaning: "A capacity report of a peer names a limit, wait, run time or age that no backend \
+                server can have. `reason` is the value, `upstream` the backend server that it is \
+                about. The report was dropped and changed nothing.",
+        action: "Look at the daemon beside `upstream`: `peer` may only have passed the report on. \
+                Compare its build with the others.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -180,6 +180,14 @@
         "Burn rate of the error budget over 5m or 1h: at 1000 the budget is used up exactly at the end of its window. Read every half minute.";
     MetricsDropped Counter "metrics_dropped" "samples" []
         "Samples that could not be sent.";
+    CapacityRecords Gauge "capacity_records" "records" ["service"]
+        "Backend servers of the service whose capacity record is known and not expired.";
+    CapacityAge Gauge "capacity_age" "milliseconds" ["service"]
+        "Greatest age of a known capacity record of the service.";
+    ForecastRefused Counter "forecast_refused" "requests" ["service"]
+        "Requests refused without a further offer because no backend server could answer before the deadline.";
+    OverloadedOffers Counter "overloaded_offers" "attempts" ["service"]
+        "Attempts refused as overloaded by the daemon beside the backend server. Divided by `requests`, the offers in vain per request.";
 }
 
 /// Metrics that no code sends yet.
