Test reports after a pause, and describe how choices are spread

The test of a paused node passed without the time in which reports are ignored after a pause. Policy tests are added for the age of records in the fleet, the own failure domain, failing servers and excluded servers.

--- a/crates/engine/tests/session/capacity.rs
+++ b/crates/engine/tests/session/capacity.rs
@@ -92,6 +92,26 @@
     lines.collect()
 }
 
+/// Returns a valid record of an idle server beside a node.
+fn idle_record(name: &str, sequence: u32) -> CapacityRecord {
+    CapacityRecord {
+        id: UpstreamId {
+            node: node(name),
+            slot: 0,
+        },
+        incarnation: NodeIncarnation(1),
+        sequence,
+        in_use: 0,
+        limit: 5,
+        queued: 0,
+        expected_wait_ms: 0,
+        mean_run_ms: 20,
+        failing: 0,
+        repeats: 0,
+        age_ms: 0,
+    }
+}
+
 fn status_of(world: &SessionWorld, name: &str) -> Vec<CapacityStatus> {
     world.engines()[&node(name)].capacity_status()
 }
@@ -214,22 +234,10 @@
 fn implausible_report_is_dropped_with_one_event() {
     let mut world = fleet_with(controlled(), Duration::from_millis(20));
     let before = records_at(&world, "a");
-    let id = UpstreamId {
-        node: node("b"),
-        slot: 0,
-    };
     let record = CapacityRecord {
-        id,
-        incarnation: NodeIncarnation(u64::MAX),
-        sequence: u32::MAX,
-        in_use: 0,
         limit: 0,
-        queued: 0,
         expected_wait_ms: u32::MAX,
-        mean_run_ms: u32::MAX,
-        failing: 255,
-        repeats: 0,
-        age_ms: 0,
+        ..idle_record("b", u32::MAX)
     };
     let from = world.engines()[&node("c")].own_instance();
     for _ in 0..20 {
@@ -245,7 +253,7 @@
     };
     let message = unknown;
     world.send_event("a", NodeEvent::PeerReceived { from, message });
-    assert_eq!(world.invalid_reports, [id]);
+    assert_eq!(world.invalid_reports, [record.id]);
     assert_eq!(records_at(&world, "a"), before);
     assert_eq!(status_of(&world, "a").len(), 1);
 }
@@ -259,8 +267,15 @@
     world.freeze(node("a"));
     world.run_for(Duration::from_secs(10));
     world.thaw(node("a"));
+    assert_eq!(records_at(&world, "a"), 0, "before the first tick");
     world.run_for(Duration::from_millis(20));
-    assert_eq!(records_at(&world, "a"), 0);
+    let from = world.engines()[&node("c")].own_instance();
+    let message = PeerMessage::Capacity {
+        service: ServiceName::new("orders"),
+        records: vec![idle_record("c", u32::MAX)],
+    };
+    world.send_event("a", NodeEvent::PeerReceived { from, message });
+    assert_eq!(records_at(&world, "a"), 0, "after the first tick");
     world.run_for(SETTLE_TIME);
     assert_eq!(records_at(&world, "a"), known);
 }
--- a/crates/policy/tests/capacity.rs
+++ b/crates/policy/tests/capacity.rs
@@ -444,3 +444,76 @@
         assert!(select_freshest(REPORTED_AT, &tables, bytes - 1).is_empty());
     }
 }
+
+// Guards against reports that carry the same few records around, so that most are old or missing.
+#[test]
+fn records_reach_all_nodes_while_they_are_fresh() {
+    let mut fleet = CapacityFleet::new(NODES, SERVERS);
+    fleet.run_for(Duration::from_secs(6), 0.0);
+    let now = fleet.now;
+    let mut ages = Vec::new();
+    for node in &fleet.nodes {
+        let records = (0..SERVERS).filter_map(|server| node.table().record(now, upstream(server)));
+        let node_ages: Vec<f64> = records.map(|record| record.age().as_secs_f64()).collect();
+        assert!(node_ages.len() >= SERVERS - 3, "{} known", node_ages.len());
+        ages.extend(node_ages);
+    }
+    let mean_age = ages.iter().sum::<f64>() / count(ages.len());
+    assert!(mean_age < 1.5, "mean age {mean_age}s");
+}
+
+// Guards against traffic between failure domains while the servers nearby have free slots, and
+// against a domain that waits while others have free slots.
+#[test]
+fn own_domain_is_preferred_unless_it_waits() {
+    let is_near = |server: usize| server.is_multiple_of(4);
+    let idle = |server: usize| CapacityRecord {
+        in_use: 3,
+        queued: 0,
+        ..waiting_record(server, 0)
+    };
+    let picks_near = |fleet: &mut CapacityFleet| {
+        let picks = (0..100).filter_map(|_| fleet.pick(NODES - 4, &[]));
+        let near: Vec<_> = (0..SERVERS)
+            .filter(|server| is_near(*server))
+            .map(upstream)
+            .collect();
+        picks.filter(|picked| near.contains(picked)).count()
+    };
+    let mut fleet = informed_fleet(idle);
+    assert_eq!(picks_near(&mut fleet), 100);
+    let mut fleet = informed_fleet(|server| {
+        if is_near(server) {
+            waiting_record(server, 3_000)
+        } else {
+            idle(server)
+        }
+    });
+    assert_eq!(picks_near(&mut fleet), 0);
+}
+
+// Guards against servers that are chosen for their short waits while they fail their requests.
+#[test]
+fn server_that_reports_failures_is_avoided() {
+    let mut fleet = informed_fleet(|server| CapacityRecord {
+        in_use: 3,
+        queued: 0,
+        failing: if server < 32 { 230 } else { 0 },
+        ..waiting_record(server, 0)
+    });
+    let failing: Vec<_> = (0..32).map(upstream).collect();
+    for _ in 0..100 {
+        let picked = fleet.pick(NODES - 1, &[]).expect("a candidate");
+        assert!(!failing.contains(&picked), "{picked}");
+    }
+}
+
+// Guards against a request that is offered to the same server twice.
+#[test]
+fn excluded_servers_are_not_chosen() {
+    let mut fleet = informed_fleet(|server| waiting_record(server, 1_000));
+    let tried: Vec<_> = (0..SERVERS - 1).map(upstream).collect();
+    assert_eq!(fleet.pick(NODES - 1, &tried), Some(upstream(SERVERS - 1)));
+    let all: Vec<_> = (0..SERVERS).map(upstream).collect();
+    assert_eq!(fleet.pick(NODES - 1, &all), None);
+}
