Merge the capacity reports

The load of the deadline gate gives the expected wait of a new request behind the work that is in time, and the mean run time.

--- a/crates/limits/src/overload/gate.rs
+++ b/crates/limits/src/overload/gate.rs
@@ -154,6 +154,16 @@
         (start <= offered.latest_start()).then_some(offered)
     }
 
+    /// Returns the expected wait of a new request behind all work that is in time; zero while a slot
+    /// is free.
+    pub(super) fn wait_in_time(&self, now: Duration) -> Duration {
+        if self.has_capacity(now) && self.queue.is_empty() {
+            return Duration::ZERO;
+        }
+        let work_left = self.remaining_cost(now) + self.queue.in_time_cost();
+        (work_left / self.open_slots(now)).max(self.permit_wait(now))
+    }
+
     /// Returns the remaining time of the current runs, summed over the slots. A run that exceeds its
     /// expected time counts as one eighth of that time.
     fn remaining_cost(&self, now: Duration) -> Duration {
--- a/crates/limits/src/overload/gate_admission.rs
+++ b/crates/limits/src/overload/gate_admission.rs
@@ -117,6 +117,8 @@
             slots,
             queued: queued.max(self.runs_within(permit_wait, slots)),
             closed: self.closed,
+            expected_wait: self.wait_in_time(now),
+            mean_run: self.costs.mean(),
         }
     }
 
--- a/crates/limits/src/overload/queue.rs
+++ b/crates/limits/src/overload/queue.rs
@@ -227,6 +227,13 @@
         self.waiting.values().map(WaitingWork::cost).sum()
     }
 
+    /// Returns the expected run time of the waiting requests that are in time.
+    #[must_use]
+    pub fn in_time_cost(&self) -> Duration {
+        let in_time = self.waiting.values().take_while(|work| !work.late);
+        in_time.map(WaitingWork::cost).sum()
+    }
+
     /// Returns whether offered work would make waiting work of the same priority miss its objective,
     /// which that work would meet without it.
     ///
--- a/crates/telemetry/src/event/entries/load.rs
+++ b/crates/telemetry/src/event/entries/load.rs
@@ -112,4 +112,13 @@
         action: "Look for callers that send bodies slowly or read replies slowly. If there are \
                 none, raise `limits.overload.memory` as far as the machine allows.",
     },
+    EventEntry {
+        code: EventCode::CapacityReportInvalid,
+        reserved: false,
+        meaning: "A capacity report of a peer names a limit, wait, run time or age that no backend \
+                server can have. `reason` is the value, `upstream` the backend server that it is \
+                about. The report was dropped and changed nothing.",
+        action: "Look at the daemon beside `upstream`: `peer` may only have passed the report on. \
+                Compare its build with the others.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -192,6 +192,14 @@
         "Requests refused at this instance at once, because they could neither be served in time nor late or the queue was full.";
     MemoryHeld Gauge "memory_held" "bytes" []
         "Bytes held for waiting requests and unread replies under overload control.";
+    CapacityRecords Gauge "capacity_records" "records" ["service"]
+        "Backend servers of the service whose capacity record is known and not expired.";
+    CapacityAge Gauge "capacity_age" "milliseconds" ["service"]
+        "Greatest age of a known capacity record of the service.";
+    ForecastRefused Counter "forecast_refused" "requests" ["service"]
+        "Requests refused without a further offer because no backend server could answer before the deadline.";
+    OverloadedOffers Counter "overloaded_offers" "attempts" ["service"]
+        "Attempts refused as overloaded by the daemon beside the backend server. Divided by `requests`, the offers in vain per request.";
 }
 
 /// Metrics that no code sends yet.
