Add the books for loans of repeats between backend servers

Cause: each server holds an equal part of the bound on repeats, and parts stay unused where no repeat is requested.

Change: `RepeatBooks` holds the two budgets of a server, what it has borrowed and its open asks; `LoanAskHistory` drops duplicated asks. `RetryBudget` counts a loan until one window after its end, judges loans and withdrawals beside them by the deposits that last until that end, and covers overdrawn charges with borrowed repeats. A repeat that waits for a slot beyond its loan, or beyond the window of its own withdrawal, needs a new withdrawal.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -29,7 +29,10 @@
     CrashSettings, CrashSignature, CrashVictim,
 };
 pub use holder_count::HolderCount;
-pub use overload::OverloadSettings;
+pub use overload::{
+    GrantError, LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, OverloadSettings,
+    RepeatBooks, RepeatOrigin,
+};
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
     UsageReport,
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -4,6 +4,11 @@
 //! [`OverloadSettings::objective_from`]. All other fleets keep the gates and budgets of the sibling
 //! modules.
 
+pub mod loans;
 mod settings;
 
+pub use loans::{
+    GrantError, LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, RepeatBooks, RepeatOrigin,
+    choose_lenders,
+};
 pub use settings::OverloadSettings;
--- a/crates/limits/src/retry_budget.rs
+++ b/crates/limits/src/retry_budget.rs
@@ -107,6 +107,12 @@
     /// Unlike deposits, withdrawals are not summed by parts of the window: a withdrawal would
     /// expire up to one part early, and a window could hold nearly twice the budget.
     withdrawals: VecDeque<Duration>,
+    /// End of each repeat that is lent to another node, oldest first. A loan counts as a withdrawal
+    /// until one window after its end.
+    lent: VecDeque<Duration>,
+    /// Time of each charge that exceeded the balance, oldest first. These charges are also in
+    /// `withdrawals`.
+    overdrafts: VecDeque<Duration>,
     newest_part: u64,
     /// Latest `now` of any call. Keeps `withdrawals` in order if the clock steps back.
     latest_now: Duration,
@@ -124,6 +130,8 @@
             node_part: BudgetPart::default(),
             deposits: [0; WINDOW_PARTS],
             withdrawals: VecDeque::new(),
+            lent: VecDeque::new(),
+            overdrafts: VecDeque::new(),
             newest_part: 0,
             latest_now: Duration::ZERO,
         }
@@ -154,6 +162,9 @@
     /// window has passed.
     pub fn charge(&mut self, now: Duration) {
         self.advance(now);
+        if self.balance_units() / TOKEN == 0 {
+            self.overdrafts.push_back(self.latest_now);
+        }
         self.withdrawals.push_back(self.latest_now);
     }
 
@@ -168,7 +179,49 @@
     /// oldest withdrawal.
     pub fn restart_withdrawal(&mut self, now: Duration) {
         self.refund(now);
-        self.charge(now);
+        self.withdrawals.push_back(self.latest_now);
+    }
+
+    /// Returns the number of whole repeats that this budget could still withdraw `duration` from
+    /// now if nothing else is deposited or withdrawn.
+    ///
+    /// Deposits that expire earlier do not count. A loan may be used until its end, and the window
+    /// that ends with its use no longer contains these deposits.
+    pub fn balance_after(&mut self, now: Duration, duration: Duration) -> u64 {
+        self.advance(now);
+        let horizon = self.horizon().max(self.latest_now + duration);
+        self.balance_units_at(horizon) / TOKEN
+    }
+
+    /// Lends repeats for `duration`. They count as withdrawals until one window after the end of
+    /// the loan, since the borrower may use them until that end.
+    ///
+    /// Lends as many as requested; the caller limits the number with [`Self::balance_after`].
+    pub fn lend(&mut self, now: Duration, repeats: u64, duration: Duration) {
+        self.advance(now);
+        let end = self.latest_now + duration;
+        self.lent.extend((0..repeats).map(|_| end));
+    }
+
+    /// Returns the number of charges in the window that exceeded the balance and that no deposit
+    /// has made up for.
+    pub fn overdrawn(&mut self, now: Duration) -> u64 {
+        self.advance(now);
+        let taken = TOKEN * self.withdrawal_count();
+        let deficit = taken.saturating_sub(self.allowance_units(self.latest_now));
+        deficit.div_ceil(TOKEN).min(self.overdrafts.len() as u64)
+    }
+
+    /// Covers overdrawn charges with borrowed repeats and returns how many were covered. The
+    /// withdrawals are removed here, because the lender counts them for longer than this budget
+    /// would.
+    pub fn cover_overdrafts(&mut self, now: Duration, repeats: u64) -> u64 {
+        let covered = self.overdrawn(now).min(repeats);
+        for _ in 0..covered {
+            self.overdrafts.pop_front();
+            self.withdrawals.pop_front();
+        }
+        covered
     }
 
     /// Returns the number of whole repeats left.
@@ -178,29 +231,59 @@
     }
 
     fn balance_units(&self) -> u64 {
+        self.balance_units_at(self.horizon())
+    }
+
+    /// Returns the latest time at which a repeat that this budget granted may still be made.
+    ///
+    /// While a loan is out, a withdrawal must not rely on deposits that expire before its end:
+    /// otherwise, the loan and the withdrawal together could exceed what the window at that end
+    /// allows.
+    fn horizon(&self) -> Duration {
+        let last_end = self.lent.back().copied().unwrap_or_default();
+        last_end.max(self.latest_now)
+    }
+
+    fn balance_units_at(&self, horizon: Duration) -> u64 {
+        let taken = TOKEN * self.withdrawal_count();
+        self.allowance_units(horizon).saturating_sub(taken)
+    }
+
+    fn withdrawal_count(&self) -> u64 {
+        (self.withdrawals.len() + self.lent.len()) as u64
+    }
+
+    /// Returns what the window that ends at `horizon` allows, from the deposits made so far.
+    fn allowance_units(&self, horizon: Duration) -> u64 {
         let minimum = self.minimum_per_second * TOKEN * self.window.as_secs().max(1);
-        let deposits: u64 = self.deposits.iter().sum();
-        let withdrawals = TOKEN * self.withdrawals.len() as u64;
         let BudgetPart { slack, threshold } = self.node_part;
         let advance_credit = MILLIS_PER_REPEAT.saturating_sub(threshold);
         let node_share = (slack + advance_credit) * (TOKEN / MILLIS_PER_REPEAT);
-        (minimum + node_share + deposits).saturating_sub(withdrawals)
+        let expiring_parts = self.part_number(horizon).saturating_sub(self.newest_part);
+        let kept_parts = (WINDOW_PARTS as u64).saturating_sub(expiring_parts);
+        let newest_parts = (0..kept_parts).filter_map(|age| self.newest_part.checked_sub(age));
+        let deposits: u64 = newest_parts
+            .map(|number| self.deposits[index_of(number)])
+            .sum();
+        minimum + node_share + deposits
+    }
+
+    fn part_number(&self, at: Duration) -> u64 {
+        u64::try_from(at.as_nanos() / self.part_duration.as_nanos().max(1)).unwrap_or(0)
     }
 
     /// Removes expired withdrawals and deposits, and returns the index of the newest part of the
     /// deposits.
     fn advance(&mut self, now: Duration) -> usize {
         self.latest_now = self.latest_now.max(now);
-        let is_expired = |at: &Duration| *at + self.window <= self.latest_now;
-        let expired = self
-            .withdrawals
-            .iter()
-            .take_while(|at| is_expired(at))
-            .count();
-        self.withdrawals.drain(..expired);
+        let oldest = self.latest_now.checked_sub(self.window);
+        if let Some(oldest) = oldest {
+            remove_until(&mut self.withdrawals, oldest);
+            remove_until(&mut self.lent, oldest);
+            remove_until(&mut self.overdrafts, oldest);
+        }
         let part_count = WINDOW_PARTS as u64;
-        let part_number =
-            u64::try_from(now.as_nanos() / self.part_duration.as_nanos().max(1)).unwrap_or(0);
+        let part_number = self.part_number(now);
         let first_part = self.newest_part + 1;
         let elapsed_parts = part_number.saturating_sub(self.newest_part).min(part_count);
         for part_number in first_part..first_part + elapsed_parts {
@@ -212,6 +295,12 @@
     }
 }
 
+/// Removes the times up to `oldest` from the front of an ascending list.
+fn remove_until(times: &mut VecDeque<Duration>, oldest: Duration) {
+    let expired = times.iter().take_while(|at| **at <= oldest).count();
+    times.drain(..expired);
+}
+
 fn index_of(part_number: u64) -> usize {
     usize::try_from(part_number % WINDOW_PARTS as u64).unwrap_or(0)
 }
