Lend unused repeats between the backend servers of a service

Cause: a server that is asked for more repeats than its part of the bound refuses them while other servers have repeats left, and nobody knows which.

Change: `PeerMessage::RepeatLoan` with `Ask` and `Grant`, sent only where overload control and `repeat-loans` are on and executors count repeats. A server asks when a repeat is refused, and at each tick while it has fewer left than are requested in a second. A restarted daemon has no slack for 11 s there, since its previous incarnation may have lent repeats. Parts of a whole repeat or more no longer use the random threshold there. The daemon passes `NodeEvent::Resumed` when the wall clock shows a pause that its own clock does not; borrowed repeats are then dropped. Events SL8014 to SL8018 and three counters.

--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -25,6 +25,7 @@
 use tokio::sync::mpsc;
 
 use crate::callers::CallerCommand;
+use crate::clock_watch::ClockWatch;
 use crate::inbox::DecisionInput;
 use crate::log_thread::LogCommand;
 use crate::metrics::NodeTelemetry;
@@ -68,6 +69,7 @@
 pub struct DecisionLoop {
     engine: NodeEngine,
     clock: Arc<dyn NodeClock>,
+    clock_watch: ClockWatch,
     inbox: RingReceiver<DecisionInput>,
     outputs: DecisionOutputs,
     notes: NoteRecorder,
@@ -97,12 +99,14 @@
             clock.wall().saturating_sub(clock.now()),
             &outputs.telemetry,
         );
+        let clock_watch = ClockWatch::new(clock.now(), clock.wall());
         let gossip = MetricTags::new().with("kind", "gossip");
         let registry = &outputs.telemetry.registry;
         let gossip_bytes = registry.counter(MetricName::ControlBytesSent, &gossip);
         Self {
             engine,
             clock,
+            clock_watch,
             inbox,
             outputs,
             notes,
@@ -167,6 +171,9 @@
 
     fn handle_event(&mut self, event: NodeEvent) {
         let started_at = self.clock.now();
+        if self.clock_watch.has_paused(started_at, self.clock.wall()) {
+            self.apply_event(started_at, NodeEvent::Resumed);
+        }
         let kind = event_kind(&event);
         self.apply_event(started_at, event);
         let took = self.clock.now().saturating_sub(started_at);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod adapters;
 mod callers;
+pub mod clock_watch;
 mod daemon;
 mod decision_loop;
 mod gossip;
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -10,6 +10,7 @@
 mod attempts;
 mod audit;
 mod findings;
+mod loans;
 mod objectives;
 mod periodic;
 mod requests;
@@ -127,6 +128,11 @@
                 rate,
                 limited_for,
             } => self.record_server_limit(id, service, *rate, *limited_for),
+            NodeNote::LoanAsked { .. }
+            | NodeNote::LoanAnswered { .. }
+            | NodeNote::LoanReceived { .. }
+            | NodeNote::LoanDropped { .. }
+            | NodeNote::LoanEnded { .. } => self.record_loan(note),
             NodeNote::UpstreamLeaving { id, service } => {
                 self.emit_upstream(EventCode::UpstreamLeaving, id, service);
             }
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -143,6 +143,9 @@
     LogReachable(bool),
     /// The platform asked this node to leave.
     DrainRequested,
+    /// The process was paused for a time that its monotonic clock may not show, because the wall
+    /// clock has advanced further.
+    Resumed,
     /// This node stops now. The engine responds by notifying its peers.
     Departed,
 }
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -39,7 +39,7 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let work = offer.work;
-        let state = WorkState {
+        let mut state = WorkState {
             deadline: now + offer.time_left,
             phase: WorkPhase::Queued,
             offered: now,
@@ -48,24 +48,30 @@
             on_turn: false,
             connection_lost: false,
             on_trial: false,
+            repeat: None,
             offer,
         };
         let slot = state.offer.slot;
         let service = state.offer.service.clone();
         let attempt = state.offer.attempt;
         let signature = state.signature();
-        if state.offer.arrival == ArrivalKind::Repeat
-            && !self.withdraw_repeat(now, slot, state.offer.kind)
-        {
-            let refusal = RequestRefusal::not_run(RefusalCode::RepeatsSpent);
-            self.note_offer_decision(&state.offer, Some(refusal.code), state.offer.time_left, out);
-            let load = self.load_of(slot);
-            out.push(NodeCommand::RefuseWork {
-                work,
-                refusal,
-                load,
-            });
-            return;
+        if state.offer.arrival == ArrivalKind::Repeat {
+            match self.withdraw_repeat(now, slot, state.offer.kind) {
+                Ok(repeat) => state.repeat = repeat,
+                Err(code) => {
+                    let refusal = RequestRefusal::not_run(code);
+                    let left = state.offer.time_left;
+                    self.note_offer_decision(&state.offer, Some(code), left, out);
+                    let load = self.load_of(slot);
+                    out.push(NodeCommand::RefuseWork {
+                        work,
+                        refusal,
+                        load,
+                    });
+                    self.ask_for_repeats(now, slot, out);
+                    return;
+                }
+            }
         }
         self.works.insert(work, state);
         if !self.serves(slot, &service) {
@@ -182,12 +188,15 @@
     }
 
     fn start_work(&mut self, now: Duration, work: WorkId, out: &mut Vec<NodeCommand>) {
+        if !self.count_arrival(now, work) {
+            self.refuse_at_start(now, work, out);
+            return;
+        }
         let Some(state) = self.works.get_mut(&work) else {
             return;
         };
         state.phase = WorkPhase::Running;
         state.started = now;
-        self.count_arrival(now, work);
         let Some(state) = self.works.get(&work) else {
             return;
         };
@@ -213,6 +222,17 @@
         out.push(NodeCommand::RunWork { work, life });
     }
 
+    /// Refuses work that got a slot after its loan of a repeat ended and no other repeat was left.
+    fn refuse_at_start(&mut self, now: Duration, work: WorkId, out: &mut Vec<NodeCommand>) {
+        let slot = self.works.get(&work).map(|state| state.offer.slot);
+        let mut commands = Vec::new();
+        if let Some(upstream) = slot.and_then(|slot| self.upstreams.get_mut(&slot)) {
+            upstream.gate.released(now, work, &mut commands);
+        }
+        self.refuse_unstarted(now, work, RefusalCode::RepeatsSpent, None, out);
+        self.on_gate_commands(now, commands, out);
+    }
+
     /// Records the end of a run in the pool of its service. This node observes every run on the
     /// local backend server, regardless of the sender, and so detects a gray failure before any
     /// caller's node could.
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -59,7 +59,7 @@
 /// any sequence of draws covers the parts more evenly than random draws, whatever the weights are.
 const DRAW_STEP: f64 = 0.618_033_988_749_894_9;
 /// Period over which repeats count towards the bound of the fleet.
-const REPEAT_WINDOW: Duration = Duration::from_secs(10);
+pub(crate) const REPEAT_WINDOW: Duration = Duration::from_secs(10);
 /// Time for which a node keeps the random threshold of its retry budgets: their window. Kept
 /// longer, a node with a high threshold would make no repeats for the length of a fault. Drawn anew
 /// at each failure, every node would soon draw a low one.
--- a/crates/engine/src/local_upstream.rs
+++ b/crates/engine/src/local_upstream.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use sycamorelink_limits::AdmissionGate;
+use sycamorelink_limits::{AdmissionGate, RepeatBooks};
 use sycamorelink_policy::UpstreamBreaker;
 
 use crate::event::{LifeId, UpstreamAnnouncement};
 use crate::health::ReportedHealth;
 use crate::leaving::life_of;
-use crate::repeats::RepeatBudgets;
 use crate::server_notices::ServerLimit;
 
 /// Maximum number of ended incarnations remembered per backend server. A delayed announcement
@@ -22,7 +21,7 @@
     pub(crate) gate: Box<dyn AdmissionGate>,
     pub(crate) breaker: UpstreamBreaker,
     /// Budget of repeats that the server may be given; `None` before the first repeat.
-    pub(crate) repeats: Option<RepeatBudgets>,
+    pub(crate) repeats: Option<RepeatBooks>,
     /// Limit on the requests that the server gets, as last reported by it.
     pub(crate) limit: Option<ServerLimit>,
     /// Whether the server has answered this incarnation of the node.
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -329,6 +329,7 @@
             PeerMessage::SourceSeen { age } => self.fleet.follow.on_empty_source(now, age),
             PeerMessage::Quota(message) => self.on_quota_message(now, from, message),
             PeerMessage::Leaving(message) => self.on_leaving_message(now, from, message, out),
+            PeerMessage::RepeatLoan(message) => self.on_repeat_loan(now, from, message, out),
         }
     }
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -12,6 +12,7 @@
 
 use crate::leaving::LeavingMessage;
 use crate::limit_records::LimitedServer;
+use crate::repeat_loans::RepeatLoanMessage;
 
 /// A message between two nodes. Any message may be lost, duplicated or reordered.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -127,6 +128,8 @@
     ServerLimit(LimitedServer),
     /// The limits that the sender has stored for the receiver.
     StoredLimits(Vec<LimitedServer>),
+    /// Loans of repeats between backend servers. Only sent where overload control is on.
+    RepeatLoan(RepeatLoanMessage),
 }
 
 /// Contracts that a node requests from a peer.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -26,6 +26,7 @@
 use crate::limit_records::LimitRecords;
 use crate::local_upstream::LocalUpstream;
 use crate::quotas::QuotaState;
+use crate::repeat_loans::LoanState;
 use crate::request::{RequestState, WorkState};
 use crate::settings::EngineSettings;
 
@@ -91,6 +92,7 @@
     pub(crate) quotas: QuotaState,
     pub(crate) leaving_records: LeavingRecords,
     pub(crate) limit_records: LimitRecords,
+    pub(crate) loans: LoanState,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
     pub(crate) shares: ShareNode,
@@ -177,6 +179,7 @@
         let roster = NodeRoster::new(settings.roster.clone(), own.clone(), seed);
         let quotas = QuotaState::new(settings.quota, seed);
         let fleet = FleetState::new(settings.first_start, seed);
+        let loans = LoanState::new(own.instance, seed);
         let discovery = DiscoveryState::new(settings.first_start);
         let looks_up_leaving = settings.contracts == ContractMode::Fleet && !settings.first_start;
         let leaving_records = if looks_up_leaving {
@@ -201,6 +204,7 @@
             quotas,
             leaving_records,
             limit_records: LimitRecords::default(),
+            loans,
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
             pool_used: BTreeMap::new(),
@@ -311,6 +315,7 @@
             NodeEvent::LogReachable(reachable) => self.on_log_reachable(now, reachable, out),
             NodeEvent::ContractReadBack { offset, bytes } => self.on_read_back(offset, &bytes),
             NodeEvent::DrainRequested => self.on_drain(now, out),
+            NodeEvent::Resumed => self.on_resumed(out),
             NodeEvent::Departed => {
                 self.departed = true;
                 self.handle_roster_event(now, RosterEvent::Depart, out);
@@ -410,6 +415,7 @@
             self.pull_fleet_contract(now, out);
             self.tick_quotas(now, out);
             self.tick_holder_counts(now);
+            self.tick_repeat_loans(now, out);
         } else {
             self.maintain_contracts(now, out);
             self.pull_contracts(now, out);
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -324,6 +324,65 @@
         /// Service of the upstream.
         service: ServiceName,
     },
+    /// A local backend server lacks repeats and asks another one for some.
+    LoanAsked {
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Node that is asked.
+        lender: InstanceId,
+        /// Number of repeats asked for.
+        wanted: u64,
+        /// Whole repeats left here.
+        balance: u64,
+        /// Repeats requested here in the last second.
+        demand: u64,
+    },
+    /// The local backend servers were asked for repeats. None were lent if `repeats` is 0.
+    LoanAnswered {
+        /// Service of the upstreams.
+        service: ServiceName,
+        /// Node that asked.
+        borrower: InstanceId,
+        /// Number of repeats asked for.
+        wanted: u32,
+        /// Number of repeats lent.
+        repeats: u32,
+        /// Whole repeats left here after that.
+        balance: u64,
+        /// Repeats requested here in the last second.
+        demand: u64,
+    },
+    /// A local backend server got the answer to its ask. None were lent if `repeats` is 0.
+    LoanReceived {
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Node that answered.
+        lender: InstanceId,
+        /// Number of repeats lent.
+        repeats: u32,
+        /// Whole repeats left here, with the borrowed ones.
+        balance: u64,
+    },
+    /// A message about a loan was dropped.
+    LoanDropped {
+        /// Service of the upstreams.
+        service: ServiceName,
+        /// Sender.
+        from: InstanceId,
+        /// Why it was dropped.
+        reason: String,
+    },
+    /// Borrowed repeats were not used before their loan ended.
+    LoanEnded {
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Number of repeats.
+        repeats: u64,
+    },
     /// A local backend server is leaving.
     UpstreamLeaving {
         /// Id of the upstream.
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -16,12 +16,16 @@
 use std::time::Duration;
 
 use rand::Rng;
-use sycamorelink_core::ServiceName;
-use sycamorelink_limits::{BudgetPart, BudgetSettings, HolderCount, RetryBudget, WorkId};
+use sycamorelink_core::{RefusalCode, ServiceName};
+use sycamorelink_limits::{
+    BudgetPart, BudgetSettings, HolderCount, LOAN_DURATION, MILLIS_PER_REPEAT, RepeatBooks,
+    RepeatOrigin, WorkId,
+};
 use sycamorelink_policy::{OpenWork, PolicyMechanism};
 
 use crate::budgets::share_to_percent;
 use crate::event::{ArrivalKind, WorkOffer};
+use crate::fleet::REPEAT_WINDOW;
 use crate::node::NodeEngine;
 use crate::request::WorkPhase;
 
@@ -36,15 +40,6 @@
 /// Interval at which holders are counted when there are no requests.
 const HOLDER_COUNT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Budgets for the repeats that a backend server may receive.
-#[derive(Debug)]
-pub(crate) struct RepeatBudgets {
-    /// Budget for repeats of all work.
-    all: RetryBudget,
-    /// Additional budget for repeats of work that makes calls; these are withdrawn from both.
-    calling: RetryBudget,
-}
-
 /// A backend server's part of the bound on repeats at the time of a decision on a repeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RepeatBudgetView {
@@ -54,17 +49,18 @@
     pub left: u64,
 }
 
-impl RepeatBudgets {
-    fn new(settings: &BudgetSettings) -> Self {
-        let calling = BudgetSettings {
-            percent: settings.percent * CALLING_PERCENT / 100,
-            ..settings.clone()
-        };
-        Self {
-            all: RetryBudget::new(settings),
-            calling: RetryBudget::new(&calling),
-        }
-    }
+/// Returns a part that allows only whole repeats, if it has one.
+///
+/// With random thresholds, parts add up to the bound on average only. This exceeds the bound once
+/// loans let the fleet use all of it. Parts below one repeat keep their threshold, since such a
+/// fleet would have no repeats otherwise.
+fn whole_repeats_of(part: BudgetPart) -> BudgetPart {
+    let threshold = if part.slack >= MILLIS_PER_REPEAT {
+        MILLIS_PER_REPEAT
+    } else {
+        part.threshold
+    };
+    BudgetPart { threshold, ..part }
 }
 
 impl NodeEngine {
@@ -73,7 +69,8 @@
         self.uses_fleet_contract() && self.settings.policy.is_on(PolicyMechanism::BesideBudget)
     }
 
-    /// Withdraws a repeat from the budget of a server. Returns false if none is left.
+    /// Withdraws a repeat from the budget of a server. Returns `None` if repeats are not counted
+    /// here.
     ///
     /// Withdrawing on arrival, with a refund if the work is not forwarded to the server, guards
     /// against several repeats that queue for a slot on the same remaining balance and together
@@ -84,22 +81,29 @@
     /// look-ups only: the calls of the repeated look-ups would exceed the bound of a smaller
     /// service that they call. With the second budget, calls of repeats are as small a fraction of
     /// all calls as repeats are of requests.
-    pub(crate) fn withdraw_repeat(&mut self, now: Duration, slot: u16, kind: u64) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Returns the code to refuse the repeat with if none is left.
+    pub(crate) fn withdraw_repeat(
+        &mut self,
+        now: Duration,
+        slot: u16,
+        kind: u64,
+    ) -> Result<Option<RepeatOrigin>, RefusalCode> {
         if !self.counts_repeats_at_executor() {
-            return true;
+            return Ok(None);
         }
         let calls = self.call_rates.makes_calls(kind);
-        let Some(budgets) = self.repeat_budgets(now, slot) else {
-            return true;
+        let lends = self.lends_repeats();
+        let Some(books) = self.repeat_books(now, slot) else {
+            return Ok(None);
         };
-        if calls && !budgets.calling.withdraw(now) {
-            return false;
+        if lends {
+            books.record_request(now, calls);
         }
-        let taken = budgets.all.withdraw(now);
-        if calls && !taken {
-            budgets.calling.refund(now);
-        }
-        taken
+        let origin = books.withdraw(now, calls);
+        origin.map(Some).ok_or(RefusalCode::RepeatsSpent)
     }
 
     /// Returns the state of the bound on repeats at the offered server, or `None` unless the offer
@@ -113,7 +117,7 @@
             return None;
         }
         let servers = self.count_holders(now, &offer.service);
-        let left = self.repeat_budgets(now, offer.slot)?.all.balance(now);
+        let left = self.repeat_books(now, offer.slot)?.balance(now);
         Some(RepeatBudgetView { servers, left })
     }
 
@@ -123,48 +127,78 @@
         let unused = state.filter(|state| {
             state.offer.arrival == ArrivalKind::Repeat && state.phase != WorkPhase::Running
         });
-        let Some((slot, kind)) = unused.map(|state| (state.offer.slot, state.offer.kind)) else {
+        let Some((slot, kind, repeat)) =
+            unused.map(|state| (state.offer.slot, state.offer.kind, state.repeat))
+        else {
             return;
         };
-        let calls = self.call_rates.makes_calls(kind);
-        if self.counts_repeats_at_executor()
-            && let Some(budgets) = self.repeat_budgets(now, slot)
-        {
-            budgets.all.refund(now);
-            if calls {
-                budgets.calling.refund(now);
-            }
+        if !self.counts_repeats_at_executor() {
+            return;
+        }
+        let Some(origin) = self.counted_origin(now, kind, repeat) else {
+            return;
+        };
+        if let Some(books) = self.repeat_books(now, slot) {
+            books.refund(now, origin);
+        }
+    }
+
+    /// Returns what a repeat was withdrawn from; `None` if it was not withdrawn or no longer is.
+    ///
+    /// Without loans, whether the work makes calls is looked up again and the oldest withdrawal
+    /// stands for that of the repeat.
+    fn counted_origin(
+        &self,
+        now: Duration,
+        kind: u64,
+        repeat: Option<RepeatOrigin>,
+    ) -> Option<RepeatOrigin> {
+        let is_borrowed = repeat.is_some_and(|origin| origin.borrowed_until().is_some());
+        if self.lends_repeats() || is_borrowed {
+            return repeat;
         }
+        Some(RepeatOrigin::own(now, self.call_rates.makes_calls(kind)))
     }
 
     /// Counts a request that is forwarded to a local backend server. A repeat was withdrawn on
     /// arrival; its window restarts here, since it may have waited for a slot.
-    pub(crate) fn count_arrival(&mut self, now: Duration, work: WorkId) {
-        let Some(offer) = self.works.get(&work).map(|state| &state.offer) else {
-            return;
+    ///
+    /// Returns false if the request must not be forwarded: a repeat whose loan ended while it
+    /// waited, with no other repeat left.
+    pub(crate) fn count_arrival(&mut self, now: Duration, work: WorkId) -> bool {
+        let Some(state) = self.works.get(&work) else {
+            return true;
         };
-        let (slot, arrival, kind) = (offer.slot, offer.arrival, offer.kind);
+        let (slot, arrival, kind) = (state.offer.slot, state.offer.arrival, state.offer.kind);
+        let repeat = state.repeat;
         if !self.counts_repeats_at_executor() {
-            return;
+            return true;
         }
         let calls = self.call_rates.makes_calls(kind);
-        let Some(budgets) = self.repeat_budgets(now, slot) else {
-            return;
+        let lends = self.lends_repeats();
+        let origin = self.counted_origin(now, kind, repeat);
+        let Some(books) = self.repeat_books(now, slot) else {
+            return true;
         };
         if arrival == ArrivalKind::Repeat {
-            budgets.all.restart_withdrawal(now);
-            if calls {
-                budgets.calling.restart_withdrawal(now);
+            // A repeat that was not counted on arrival, since the contract changed, is counted now.
+            let restarted = match origin {
+                Some(origin) => books.restart(now, origin),
+                None => books.withdraw(now, calls),
+            };
+            if let Some(state) = self.works.get_mut(&work) {
+                state.repeat = restarted.or(Some(RepeatOrigin::unfunded(calls)));
             }
-            return;
-        }
-        budgets.all.deposit(now);
-        if calls {
-            budgets.calling.deposit(now);
+            return restarted.is_some();
         }
+        books.deposit(now, calls);
         if arrival == ArrivalKind::CalledByRepeat {
-            budgets.all.charge(now);
+            books.charge(now);
+            if lends {
+                books.record_request(now, false);
+            }
         }
+        true
     }
 
     /// Returns how the first arrival of a request that enters the fleet at this node counts. Some
@@ -197,34 +231,59 @@
     }
 
     /// Returns the repeat budgets of a backend server, with their part of the slack updated.
-    fn repeat_budgets(&mut self, now: Duration, slot: u16) -> Option<&mut RepeatBudgets> {
+    pub(crate) fn repeat_books(&mut self, now: Duration, slot: u16) -> Option<&mut RepeatBooks> {
         let service = self.upstreams.get(&slot)?.announced.service.clone();
         let part = self.budget_part(now, &service);
         let (contract, _) = self.fleet.current.as_ref()?;
-        let settings = BudgetSettings {
+        let all = BudgetSettings {
             percent: share_to_percent(contract.retry_budget.share),
             minimum_per_second: 0,
             ..BudgetSettings::default()
         };
-        let upstream = self.upstreams.get_mut(&slot)?;
-        let budgets = upstream
-            .repeats
-            .get_or_insert_with(|| RepeatBudgets::new(&settings));
-        budgets.all.set_part(part);
         // Repeats of work that makes calls get half of the slack. Guards against slack that is used
         // twice: for a service's own repeats, and for the calls of another service's repeats.
-        budgets.calling.set_part(BudgetPart {
+        let calling_part = BudgetPart {
             slack: part.slack / 2,
             ..part
+        };
+        let lends = self.lends_repeats();
+        let upstream = self.upstreams.get_mut(&slot)?;
+        let books = upstream.repeats.get_or_insert_with(|| {
+            let calling = BudgetSettings {
+                percent: all.percent * CALLING_PERCENT / 100,
+                ..all.clone()
+            };
+            RepeatBooks::new(&all, &calling)
         });
-        Some(budgets)
+        if lends {
+            books.set_parts(whole_repeats_of(part), whole_repeats_of(calling_part));
+        } else {
+            books.set_parts(part, calling_part);
+        }
+        Some(books)
     }
 
     /// Returns this server's part of the bound. The threshold for a repeat is drawn anew
     /// periodically, so that parts smaller than one repeat also add up to the bound.
     fn budget_part(&mut self, now: Duration, service: &ServiceName) -> BudgetPart {
         let servers = self.count_holders(now, service);
-        self.slack_part(now, servers)
+        let part = self.slack_part(now, servers);
+        let slack = if self.may_have_lent(now) {
+            0
+        } else {
+            part.slack
+        };
+        BudgetPart { slack, ..part }
+    }
+
+    /// Returns whether repeats that a previous incarnation of this node lent may still count.
+    ///
+    /// A loan may be used until its end, a second after the previous incarnation granted it, and
+    /// counts for one window from then on.
+    fn may_have_lent(&self, now: Duration) -> bool {
+        let overload = self.settings.overload.objective_from.is_some();
+        let lends = overload && self.settings.policy.is_on(PolicyMechanism::RepeatLoans);
+        lends && !self.settings.first_start && now < REPEAT_WINDOW + LOAN_DURATION
     }
 
     /// Updates and returns the number of servers among which the bound of a service is divided.
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -6,7 +6,7 @@
 use sycamorelink_contract::{AccountRule, CustomerRule, RouteRule};
 use sycamorelink_core::{AttemptId, InstanceId, RequestRefusal, UpstreamId};
 use sycamorelink_guard::{DispatchTicket, KeyId};
-use sycamorelink_limits::{CrashSignature, CustomerIndex};
+use sycamorelink_limits::{CrashSignature, CustomerIndex, RepeatOrigin};
 use sycamorelink_policy::RetryPlan;
 
 use crate::event::{ArrivalKind, AttemptReport, CallerRequest, LifeId, WorkOffer};
@@ -160,6 +160,8 @@
     pub connection_lost: bool,
     /// Whether the work runs as a trial of a suspect backend server.
     pub on_trial: bool,
+    /// What the work was withdrawn from as a repeat; `None` if it is no repeat or is not counted.
+    pub repeat: Option<RepeatOrigin>,
 }
 
 impl WorkState {
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod regressions;
 mod repeat_bound;
+mod repeat_loans;
 mod scenarios;
 mod server_limit;
 mod world;
--- a/crates/engine/tests/session/repeat_bound.rs
+++ b/crates/engine/tests/session/repeat_bound.rs
@@ -10,11 +10,11 @@
 use crate::world::{BackendScript, SessionWorld, name_of, node};
 
 /// Number of nodes, each with one backend server.
-const NODES: u8 = 8;
+pub const NODES: u8 = 8;
 /// Repeats allowed across the fleet per [`WINDOW`].
 const MAX_REPEATS: u32 = 16;
 /// Period over which repeats count towards the bound.
-const WINDOW: Duration = Duration::from_secs(10);
+pub const WINDOW: Duration = Duration::from_secs(10);
 /// Interval between requests to the same node.
 const CALL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -26,14 +26,14 @@
 }
 
 /// Makes every backend server answer with an error.
-fn fail_all_backends(world: &mut SessionWorld) {
+pub fn fail_all_backends(world: &mut SessionWorld) {
     let names: Vec<String> = (0..NODES).map(name_of).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     fail_backends_of(world, &names);
 }
 
 /// Makes every backend server decline its work.
-fn decline_on_all_backends(world: &mut SessionWorld) {
+pub fn decline_on_all_backends(world: &mut SessionWorld) {
     for name in (0..NODES).map(name_of) {
         let script = BackendScript {
             end: WorkEnd::Declined,
@@ -44,13 +44,13 @@
 }
 
 /// Announces a new incarnation of a node's backend server under a new name.
-fn restart_backend(world: &mut SessionWorld, name: &str, round: u32) {
+pub fn restart_backend(world: &mut SessionWorld, name: &str, round: u32) {
     world.announce_life(name, &format!("{name}-{round}"), 1);
 }
 
 /// Sends requests to the nodes and records when they are repeated.
 #[derive(Default)]
-struct CallLoad {
+pub struct CallLoad {
     calls: u128,
     last_runs: BTreeMap<RequestId, u32>,
     repeat_times: Vec<Duration>,
@@ -58,7 +58,7 @@
 
 impl CallLoad {
     /// Sends requests to all running nodes for the given duration.
-    fn run(&mut self, world: &mut SessionWorld, duration: Duration) {
+    pub fn run(&mut self, world: &mut SessionWorld, duration: Duration) {
         let end = world.now() + duration;
         while world.now() < end {
             for name in (0..NODES).map(name_of) {
@@ -82,7 +82,7 @@
     }
 
     /// Returns the largest number of repeats within any [`WINDOW`].
-    fn max_repeats_in_window(&self) -> usize {
+    pub fn max_repeats_in_window(&self) -> usize {
         let count_from = |start: Duration| {
             let window = start..start + WINDOW;
             self.repeat_times
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -20,12 +20,12 @@
 };
 use sycamorelink_engine::{
     AttemptOrder, AttemptReport, CallerRequest, ContractAsk, ContractMode, EngineSettings,
-    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, ServerNotice,
-    UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
+    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, RepeatLoanMessage,
+    ServerNotice, UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_limits::WorkId;
-use sycamorelink_policy::{SampleKind, UpstreamPhase};
+use sycamorelink_policy::{PolicyMechanism, SampleKind, UpstreamPhase};
 use sycamorelink_roster::MemberFacts;
 
 use self::trace_lines::{command_line, event_line};
@@ -146,6 +146,12 @@
     fleet: Option<Arc<FleetContract>>,
     /// Frozen nodes, with the events that wait for them.
     frozen: BTreeMap<NodeId, Vec<NodeEvent>>,
+    /// Objective from which the nodes control overload; `None` switches that off.
+    pub objective_from: Option<Duration>,
+    /// Mechanisms that are switched off at the nodes.
+    pub mechanisms_off: BTreeSet<PolicyMechanism>,
+    /// Messages about loans of repeats, with the time at which they were sent.
+    pub loan_messages: Vec<(Duration, NodeId, RepeatLoanMessage)>,
     /// When the current incarnation of each node started.
     started_at: BTreeMap<NodeId, Duration>,
     cursors: BTreeMap<(NodeId, LogStream), usize>,
@@ -208,6 +214,24 @@
         Self::start_with(count, Some(Arc::new(contract)), Some(domains))
     }
 
+    /// Starts nodes under a fleet contract that control overload where the contract has a route
+    /// with at least this objective.
+    pub fn start_fleet_with_overload(
+        count: u8,
+        contract: FleetContract,
+        objective_from: Option<Duration>,
+        off: &[PolicyMechanism],
+    ) -> Self {
+        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, None);
+        world.rng = SmallRng::seed_from_u64(u64::from(count));
+        world.objective_from = objective_from;
+        world.mechanisms_off = off.iter().copied().collect();
+        for number in 0..count {
+            world.add_node(number, 1);
+        }
+        world
+    }
+
     fn start_with(count: u8, fleet: Option<Arc<FleetContract>>, domains: Option<u8>) -> Self {
         Self::start_all(count, fleet, domains, None)
     }
@@ -243,6 +267,9 @@
             first_start: false,
             gossip_bytes,
             frozen: BTreeMap::new(),
+            objective_from: None,
+            mechanisms_off: BTreeSet::new(),
+            loan_messages: Vec::new(),
             started_at: BTreeMap::new(),
             cursors: BTreeMap::new(),
             crashed_backends: BTreeSet::new(),
@@ -297,6 +324,8 @@
             settings.contracts = ContractMode::Fleet;
             settings.gate.warm_up = Duration::ZERO;
         }
+        settings.overload.objective_from = self.objective_from;
+        settings.policy.off.clone_from(&self.mechanisms_off);
         if let Some(bytes) = self.gossip_bytes {
             settings.roster.bytes_per_second = bytes;
             settings.roster.burst_bytes = bytes;
@@ -538,6 +567,9 @@
                 if matches!(message, PeerMessage::ContractPull { .. }) {
                     *self.pulls.entry(to.node).or_default() += 1;
                 }
+                if let PeerMessage::RepeatLoan(loan) = &message {
+                    self.loan_messages.push((self.now, id, loan.clone()));
+                }
                 let current = self.engines.get(&to.node).map(NodeEngine::own_instance);
                 let Some(delay) = self
                     .link_delay(id, to.node, true)
--- a/crates/limits/src/overload/loans.rs
+++ b/crates/limits/src/overload/loans.rs
@@ -73,6 +73,19 @@
         }
     }
 
+    /// Returns the origin of a repeat that is not withdrawn from any budget: a refund of it returns
+    /// nothing, and it needs a new withdrawal.
+    #[must_use]
+    pub fn unfunded(calls: bool) -> Self {
+        let none = RepeatFunding::Loan {
+            end: Duration::ZERO,
+        };
+        Self {
+            all: none,
+            calling: calls.then_some(none),
+        }
+    }
+
     /// Returns the time until which a borrowed repeat may be made; `None` if the server's own
     /// budget for all work counts it.
     #[must_use]
@@ -82,6 +95,16 @@
             RepeatFunding::Loan { end } => Some(end),
         }
     }
+
+    /// Ends the loans that the repeat was taken from, so that it needs a new withdrawal.
+    pub fn end_loans(&mut self) {
+        let fundings = [Some(&mut self.all), self.calling.as_mut()];
+        for funding in fundings.into_iter().flatten() {
+            if let RepeatFunding::Loan { end } = funding {
+                *end = Duration::ZERO;
+            }
+        }
+    }
 }
 
 /// A server that may lend repeats.
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -227,6 +227,11 @@
     8011 BurnFast Error "burn-fast" "a service burns its error budget fast";
     8012 BurnSlow Warn "burn-slow" "a service burns its error budget faster than it can bear";
     8013 BurnEnded Info "burn-ended" "a service is back within its error budget";
+    8014 RepeatsRequested Debug "repeats-requested" "a backend server lacks repeats and another one was asked for some";
+    8015 RepeatsLent Debug "repeats-lent" "a backend server lent repeats to another one";
+    8016 RepeatsRefused Debug "repeats-refused" "a backend server was asked for repeats and needs those that it has";
+    8017 RepeatsBorrowed Debug "repeats-borrowed" "a backend server got the answer to its question for repeats";
+    8018 LoanDropped Debug "loan-dropped" "a message about a loan of repeats was dropped";
 
     9001 PeerForeign Warn "peer-foreign" "a peer that is not of this fleet was refused";
     9002 PeerVersion Warn "peer-version" "a peer speaks an unknown version of the inner protocol";
--- a/crates/telemetry/src/event/entries/load.rs
+++ b/crates/telemetry/src/event/entries/load.rs
@@ -103,4 +103,41 @@
         meaning: "The short window is back below its threshold.",
         action: "Nothing. The budget that was used stays used until the window has passed.",
     },
+    EventEntry {
+        code: EventCode::RepeatsRequested,
+        reserved: false,
+        meaning: "More repeats were requested from the backend server in the last second than it \
+                has left under the fleet's bound. It asks another server for unused ones.",
+        action: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::RepeatsLent,
+        reserved: false,
+        meaning: "Repeats that this instance does not need were lent for one second. They count \
+                here for 11 s, whether they are used or not.",
+        action: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::RepeatsRefused,
+        reserved: false,
+        meaning: "This instance has no repeats to spare beyond what is requested from it in a \
+                second.",
+        action: "Nothing for single ones. When all instances refuse, the fleet uses its bound on \
+                repeats fully.",
+    },
+    EventEntry {
+        code: EventCode::RepeatsBorrowed,
+        reserved: false,
+        meaning: "Another instance answered. Borrowed repeats may be used until one second after \
+                the question.",
+        action: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::LoanDropped,
+        reserved: false,
+        meaning: "The message was late, a duplicate, from another incarnation than the asked one, \
+                or implausible. Its repeats are lost for 11 s, and nothing else changes.",
+        action: "Nothing for single ones. When `reason` says that a number is implausible, compare \
+                the versions of both daemons.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -180,6 +180,12 @@
         "Burn rate of the error budget over 5m or 1h: at 1000 the budget is used up exactly at the end of its window. Read every half minute.";
     MetricsDropped Counter "metrics_dropped" "samples" []
         "Samples that could not be sent.";
+    RepeatsLent Counter "repeats_lent" "repeats" ["service"]
+        "Repeats that backend servers of this instance lent to others.";
+    RepeatsBorrowed Counter "repeats_borrowed" "repeats" ["service"]
+        "Repeats that backend servers of this instance borrowed from others.";
+    RepeatsUnused Counter "repeats_unused" "repeats" ["service"]
+        "Borrowed repeats that were not used before their loan ended.";
 }
 
 /// Metrics that no code sends yet.
