Test calls of repeated runs where servers lend repeats

Cause: the session on calls of repeated runs covered fleets without loans only.

Change: the same session runs with overload control on.

--- a/crates/engine/tests/session/fleet_contract.rs
+++ b/crates/engine/tests/session/fleet_contract.rs
@@ -302,7 +302,11 @@
 /// made eight calls to `files`. The price request is sent to `a` and is a repeat at `b` if the
 /// server at `a` fails it first.
 fn count_runs_after_calls(price_is_repeated: bool) -> u32 {
-    let mut world = SessionWorld::start_fleet(4, contract_with_files(12));
+    let world = SessionWorld::start_fleet(4, contract_with_files(12));
+    count_runs_after_calls_in(world, price_is_repeated)
+}
+
+fn count_runs_after_calls_in(mut world: SessionWorld, price_is_repeated: bool) -> u32 {
     replace_by_files_server(&mut world, "c");
     replace_by_files_server(&mut world, "d");
     world.run_for(IDLE_TIME);
@@ -334,6 +338,20 @@
     assert_eq!(count_runs_after_calls(false), 2);
 }
 
+// The same where servers lend each other repeats. Guards against loans that hide the calls of a
+// repeated run from the bound of the called service.
+#[test]
+fn calls_of_a_repeated_run_count_as_repeats_where_servers_lend_them() {
+    for (price_is_repeated, runs) in [(true, 1), (false, 2)] {
+        let objective = Some(Duration::from_secs(2));
+        let contract = contract_with_files(12);
+        let mut world = SessionWorld::start_fleet_with_overload(4, contract, objective, &[]);
+        // The parts of the bound count from eleven seconds after the start.
+        world.run_for(Duration::from_secs(20));
+        assert_eq!(count_runs_after_calls_in(world, price_is_repeated), runs);
+    }
+}
+
 /// Returns the failure domain, out of three, of the node with this name.
 fn domain_of_three(name: &str) -> u8 {
     (name.as_bytes()[0] - b'a') % 3
