--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -332,6 +332,7 @@
             PeerMessage::Capacity { service, records } => {
                 self.on_capacity(now, from, &service, &records, out);
             }
+            PeerMessage::RepeatLoan(message) => self.on_repeat_loan(now, from, message, out),
         }
     }
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -12,6 +12,7 @@
 
 use crate::leaving::LeavingMessage;
 use crate::limit_records::LimitedServer;
+use crate::repeat_loans::RepeatLoanMessage;
 
 /// A message between two nodes. Any message may be lost, duplicated or reordered.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -134,6 +135,8 @@
         /// Records of the sender's upstreams, and of those of other nodes.
         records: Vec<CapacityRecord>,
     },
+    /// Loans of repeats between backend servers. Only sent where overload control is on.
+    RepeatLoan(RepeatLoanMessage),
 }
 
 /// Contracts that a node requests from a peer.
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -6,7 +6,7 @@
 use sycamorelink_contract::{AccountRule, CustomerRule, RouteRule};
 use sycamorelink_core::{AttemptId, InstanceId, RequestRefusal, UpstreamId};
 use sycamorelink_guard::{DispatchTicket, KeyId};
-use sycamorelink_limits::{CrashSignature, CustomerIndex};
+use sycamorelink_limits::{CrashSignature, CustomerIndex, RepeatOrigin};
 use sycamorelink_policy::RetryPlan;
 
 use crate::capacity::RefusedForecast;
@@ -168,6 +168,8 @@
     pub on_trial: bool,
     /// Latest decision of a deadline queue that is not reported yet.
     pub queue_step: Option<QueueStep>,
+    /// What the work was withdrawn from as a repeat; `None` if it is no repeat or is not counted.
+    pub repeat: Option<RepeatOrigin>,
 }
 
 impl WorkState {
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -11,6 +11,7 @@
 mod overload_queue;
 mod regressions;
 mod repeat_bound;
+mod repeat_loans;
 mod scenarios;
 mod server_limit;
 mod world;
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -22,7 +22,8 @@
 use sycamorelink_engine::{
     AttemptOrder, AttemptReport, CallerRequest, ContractAsk, ContractMode, EngineSettings,
     LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, NodeNote, PeerMessage,
-    RefusedForecast, ServerNotice, UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
+    RefusedForecast, RepeatLoanMessage, ServerNotice, UpstreamAnnouncement, WorkEnd, WorkOffer,
+    WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_limits::{OverloadSettings, WorkId};
@@ -155,6 +156,8 @@
     fleet: Option<Arc<FleetContract>>,
     /// Frozen nodes, with the events that wait for them.
     frozen: BTreeMap<NodeId, Vec<NodeEvent>>,
+    /// Messages about loans of repeats, with the time at which they were sent.
+    pub loan_messages: Vec<(Duration, NodeId, RepeatLoanMessage)>,
     /// When the current incarnation of each node started.
     started_at: BTreeMap<NodeId, Duration>,
     cursors: BTreeMap<(NodeId, LogStream), usize>,
@@ -254,6 +257,26 @@
         world
     }
 
+    /// Starts nodes under a fleet contract that control overload where the contract has a route
+    /// with at least this objective, each with gossip, messages and random numbers from a seed of
+    /// its own.
+    pub fn start_fleet_with_loans(
+        count: u8,
+        contract: FleetContract,
+        objective_from: Option<Duration>,
+        off: &[PolicyMechanism],
+    ) -> Self {
+        let mut settings = EngineSettings::default();
+        settings.overload.objective_from = objective_from;
+        settings.policy.off = off.iter().copied().collect();
+        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, settings);
+        world.rng = SmallRng::seed_from_u64(u64::from(count));
+        for number in 0..count {
+            world.add_node(number, 1);
+        }
+        world
+    }
+
     fn start_with(count: u8, fleet: Option<Arc<FleetContract>>, domains: Option<u8>) -> Self {
         Self::start_all(count, fleet, domains, EngineSettings::default())
     }
@@ -292,6 +315,7 @@
             first_start: false,
             settings,
             frozen: BTreeMap::new(),
+            loan_messages: Vec::new(),
             started_at: BTreeMap::new(),
             cursors: BTreeMap::new(),
             crashed_backends: BTreeSet::new(),
@@ -611,6 +635,9 @@
     }
 
     fn send_message(&mut self, id: NodeId, to: InstanceId, message: PeerMessage) {
+        if let PeerMessage::RepeatLoan(loan) = &message {
+            self.loan_messages.push((self.now, id, loan.clone()));
+        }
         if let PeerMessage::Capacity { .. } = message {
             let bytes = self.capacity_bytes.entry(id).or_default();
             *bytes += encoded_size(&message);
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -29,7 +29,10 @@
     CrashSettings, CrashSignature, CrashVictim,
 };
 pub use holder_count::HolderCount;
-pub use overload::{DeadlineGate, OverloadSettings, QueueCount, QueueEvent, QueuePlace};
+pub use overload::{
+    DeadlineGate, GrantError, LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate,
+    OverloadSettings, QueueCount, QueueEvent, QueuePlace, RepeatBooks, RepeatOrigin,
+};
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
     UsageReport,
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -3,7 +3,6 @@
 //! The mechanisms take effect only under a fleet contract with an objective of at least
 //! [`OverloadSettings::objective_from`]. All other fleets keep the gates and budgets of the sibling
 //! modules.
-
 //!
 //! ```text
 //! offer ─ slot free ─▶ run
@@ -17,6 +16,7 @@
 mod gate_admission;
 mod gate_builder;
 mod inflow;
+pub mod loans;
 mod queue;
 mod queue_report;
 mod run_cost;
@@ -24,6 +24,10 @@
 
 pub use gate::DeadlineGate;
 pub use gate_builder::DeadlineGateBuilder;
+pub use loans::{
+    GrantError, LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, RepeatBooks, RepeatOrigin,
+    choose_lenders,
+};
 pub use queue::{DeadlineQueue, QueueCount, WaitingWork};
 pub use queue_report::{QueueEvent, QueuePlace};
 pub use run_cost::RunCosts;
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -231,6 +231,11 @@
     8013 BurnEnded Info "burn-ended" "a service is back within its error budget";
     8014 MemoryExhausted Warn "memory-exhausted" "a request was refused because waiting requests and unread replies hold all memory for them";
     8015 CapacityReportInvalid Warn "capacity-report-invalid" "a peer sent an implausible capacity report and it was dropped";
+    8016 RepeatsRequested Debug "repeats-requested" "a backend server lacks repeats and another one was asked for some";
+    8017 RepeatsLent Debug "repeats-lent" "a backend server lent repeats to another one";
+    8018 RepeatsRefused Debug "repeats-refused" "a backend server was asked for repeats and needs those that it has";
+    8019 RepeatsBorrowed Debug "repeats-borrowed" "a backend server got the answer to its question for repeats";
+    8020 LoanDropped Debug "loan-dropped" "a message about a loan of repeats was dropped";
 
     9001 PeerForeign Warn "peer-foreign" "a peer that is not of this fleet was refused";
     9002 PeerVersion Warn "peer-version" "a peer speaks an unknown version of the inner protocol";
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -200,6 +200,12 @@
         "Requests refused without a further offer because no backend server could answer before the deadline.";
     OverloadedOffers Counter "overloaded_offers" "attempts" ["service"]
         "Attempts refused as overloaded by the daemon beside the backend server. Divided by `requests`, the offers in vain per request.";
+    RepeatsLent Counter "repeats_lent" "repeats" ["service"]
+        "Repeats that backend servers of this instance lent to others.";
+    RepeatsBorrowed Counter "repeats_borrowed" "repeats" ["service"]
+        "Repeats that backend servers of this instance borrowed from others.";
+    RepeatsUnused Counter "repeats_unused" "repeats" ["service"]
+        "Borrowed repeats that were not used before their loan ended.";
 }
 
 /// Metrics that no code sends yet.
