Add the decisions of the caller queue

A request that every server declines, or for which no server has a repeat left, is refused after a few attempts although its caller would wait for seconds longer.

CallerQueue orders waiting requests (in time before late, priority, least time left), bounds and expires them. ReleasePace releases one at a time at first and more while none comes back. RetryPlan::resume gives a request that waited four more attempts and lets it return to servers tried before. Nothing uses them yet; a plan that is not resumed decides as before.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -29,7 +29,9 @@
     CrashSettings, CrashSignature, CrashVictim,
 };
 pub use holder_count::HolderCount;
-pub use overload::OverloadSettings;
+pub use overload::{
+    CallerQueue, JoinDecision, OverloadSettings, ReleasePace, WaitEntry, WaitReason, WaitTerms,
+};
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
     UsageReport,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod baseline;
 mod breaker;
 mod call_rates;
+mod declines;
 mod eject;
 mod exchange;
 mod failing_share;
@@ -54,6 +55,7 @@
 
 pub use breaker::{BreakerVerdict, UpstreamBreaker};
 pub use call_rates::{CallRates, OpenWork};
+pub use declines::{DeclineCounts, DeclineMonitor};
 pub use evidence::{EvidenceRole, EvidenceScores, UpstreamEvidence};
 pub use facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding, UpstreamView};
 pub use finding::{EjectionCause, PoolFinding};
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -63,8 +63,12 @@
     idempotent: bool,
     deadline: Duration,
     tried: [Option<UpstreamId>; MAX_ATTEMPTS],
+    /// Number of upstreams in `tried`.
     count: usize,
+    /// Number of attempts that count towards `max_attempts`.
+    attempts: usize,
     max_attempts: usize,
+    resumed: bool,
 }
 
 impl RetryPlan {
@@ -77,7 +81,9 @@
             deadline,
             tried: [None; MAX_ATTEMPTS],
             count: 0,
+            attempts: 0,
             max_attempts: DEFAULT_MAX_ATTEMPTS,
+            resumed: false,
         }
     }
 
@@ -89,18 +95,40 @@
         self
     }
 
-    /// Records an attempt, so that no later one goes to the same upstream.
+    /// Allows [`DEFAULT_MAX_ATTEMPTS`] more attempts, after the request waited until the service
+    /// accepts work again. The upstreams tried last remain excluded from [`Self::exclude`].
+    pub const fn resume(&mut self) {
+        self.attempts = 0;
+        self.max_attempts = DEFAULT_MAX_ATTEMPTS;
+        self.resumed = true;
+    }
+
+    /// Returns whether the request may go to an upstream that it tried before if all others were
+    /// tried as well. True once it was resumed.
+    #[must_use]
+    pub const fn may_try_again(&self) -> bool {
+        self.resumed
+    }
+
+    /// Records an attempt, so that no later one goes to the same upstream. A resumed request
+    /// forgets the upstream tried first when there is no space for another one.
     pub fn tried(&mut self, id: UpstreamId) {
         if let Some(entry) = self.tried.get_mut(self.count) {
             *entry = Some(id);
             self.count += 1;
+        } else if self.resumed {
+            self.tried.rotate_left(1);
+            self.tried[MAX_ATTEMPTS - 1] = Some(id);
+        } else {
+            return;
         }
+        self.attempts += 1;
     }
 
-    /// Returns the number of attempts so far.
+    /// Returns the number of attempts so far, or since the request was resumed.
     #[must_use]
     pub const fn attempts(&self) -> usize {
-        self.count
+        self.attempts
     }
 
     /// Returns the upstreams that must not be tried again, for [`crate::ServicePool::pick`].
@@ -132,7 +160,7 @@
         if !self.idempotent && outcome.run != RunState::NotRun {
             return RetryDecision::Stop(StopReason::MayHaveRun);
         }
-        if self.count >= self.max_attempts {
+        if self.attempts >= self.max_attempts {
             return RetryDecision::Stop(StopReason::Attempts);
         }
         let wait = outcome.retry_after.unwrap_or_default();
@@ -149,7 +177,7 @@
     pub fn hedge_at(&self, now: Duration, delay: Option<Duration>) -> Option<Duration> {
         let at = now + delay?;
         let in_time = at + delay? <= self.deadline;
-        (self.idempotent && in_time && self.count < self.max_attempts).then_some(at)
+        (self.idempotent && in_time && self.attempts < self.max_attempts).then_some(at)
     }
 }
 
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -81,3 +81,30 @@
     );
     assert_eq!(plan.hedge_at(Duration::ZERO, None), None);
 }
+
+// Guards against a request that ends after its wait because it used up its attempts before, and
+// against one that has tried every server and can go to none.
+#[test]
+fn resumed_request_has_further_attempts_and_prefers_untried_upstreams() {
+    let outcome = AttemptOutcome::new(RunState::NotRun);
+    let mut plan = RetryPlan::new(true, DEADLINE).with_all_attempts();
+    for node in 0..10 {
+        plan.tried(upstream(node));
+    }
+    let decision = plan.decide(Duration::ZERO, &outcome, USUAL);
+    assert!(matches!(decision, RetryDecision::Stop(_)));
+    assert!(!plan.may_try_again());
+    plan.resume();
+    assert!(plan.may_try_again());
+    for node in 10..14 {
+        let decision = plan.decide(Duration::ZERO, &outcome, USUAL);
+        assert_eq!(decision, RetryDecision::Retry, "attempt at {node}");
+        plan.tried(upstream(node));
+    }
+    let decision = plan.decide(Duration::ZERO, &outcome, USUAL);
+    assert!(matches!(decision, RetryDecision::Stop(_)));
+    let excluded = plan.exclude();
+    let excluded = excluded.as_slice();
+    assert_eq!(excluded.len(), 10);
+    assert!(excluded.contains(&upstream(13)) && !excluded.contains(&upstream(3)));
+}
