Hold declined requests and those without repeats in the caller queue

While a whole service declines work, a repeat has the same odds as a first arrival, and requests are refused after a few attempts although their callers wait for up to twelve seconds.

With overload control and `caller-queue`, such a request waits at its node in RequestPhase::AwaitingCapacity. It is sent again as a repeat once the service accepts work, or as soon as a repeat can be had, and ends with its last failure when no run fits into its time left. Requests that may have run and must not repeat, or whose body was consumed, never wait. The session world now reports declined work as the daemon does, as refused and not run.

--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -8,12 +8,14 @@
 
 use sycamorelink_core::{AttemptId, RefusalCode, RequestId, RequestRefusal, RunState, ServiceName};
 use sycamorelink_guard::{DispatchOutcome, GuardEvent};
+use sycamorelink_limits::WaitReason;
 use sycamorelink_policy::{AttemptOutcome, RetryDecision, SampleKind, UpstreamSample};
 
+use crate::caller_queue::is_declined;
 use crate::command::NodeCommand;
 use crate::event::AttemptReport;
 use crate::node::{NodeEngine, TimerPurpose};
-use crate::note::{NodeNote, RequestSummary};
+use crate::note::{NodeNote, RequestSummary, WaitEnd};
 use crate::request::{OpenAttempt, RequestPhase, RequestState};
 
 /// Lowest HTTP status that counts as a server error.
@@ -83,6 +85,7 @@
                 pool.learn_reply_size(kind_of_work, report.reply_bytes);
             }
         }
+        self.observe_for_waits(now, (&service, kind_of_work), attempt.upstream, report, out);
         if report.run == RunState::Ran && !is_server_error(report) {
             if earlier {
                 out.push(NodeCommand::Note(NodeNote::HedgeWon {
@@ -131,10 +134,10 @@
         if report.run != RunState::NotRun {
             state.uncertain += 1;
         }
-        let by_server = matches!(report.code, None | Some(RefusalCode::UpstreamFailed));
-        let declined = report.kind == SampleKind::Refused && by_server;
-        state.arrivals += u16::from(report.run != RunState::NotRun || declined);
+        let arrived = report.run != RunState::NotRun || is_declined(report);
+        state.arrivals += u16::from(arrived);
         state.repeats_refused += u16::from(report.code == Some(RefusalCode::RepeatsSpent));
+        state.overloaded += u16::from(report.code == Some(RefusalCode::Overloaded));
         if rejected {
             state.rejected_by.push(attempt.upstream);
         }
@@ -159,6 +162,12 @@
         report: &AttemptReport,
         out: &mut Vec<NodeCommand>,
     ) {
+        // A repeat would probably be declined as well.
+        if self.is_service_declining(id, report)
+            && self.await_capacity(now, id, WaitReason::Declining, out)
+        {
+            return;
+        }
         let Some(state) = self.requests.get(&id) else {
             return;
         };
@@ -186,11 +195,25 @@
                 self.retry(now, id, report, out);
             }
             RetryDecision::Retry | RetryDecision::Stop(_) => {
-                self.answer_from_last(now, id, report, out);
+                if !self.wait_instead(now, id, report, out) {
+                    self.answer_from_last(now, id, report, out);
+                }
             }
         }
     }
 
+    /// Holds a request in the caller queue in place of its final answer, if waiting can help.
+    fn wait_instead(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        report: &AttemptReport,
+        out: &mut Vec<NodeCommand>,
+    ) -> bool {
+        let reason = self.wait_reason(id, report);
+        reason.is_some_and(|reason| self.await_capacity(now, id, reason, out))
+    }
+
     pub(crate) fn retry(
         &mut self,
         now: Duration,
@@ -204,6 +227,7 @@
         });
         match next.or_else(|| self.last_refusing_upstream(id)) {
             Some(upstream) => self.dispatch(now, id, upstream, out),
+            None if self.wait_instead(now, id, report, out) => {}
             None => self.send_final_answer(now, id, report, out),
         }
     }
@@ -376,6 +400,11 @@
         end: RequestEnd,
         out: &mut Vec<NodeCommand>,
     ) {
+        let wait_end = match end {
+            RequestEnd::CallerGone => WaitEnd::CallerGone,
+            _ => WaitEnd::Expired,
+        };
+        self.leave_caller_queue(now, id, wait_end, out);
         let Some(state) = self.requests.remove(&id) else {
             return;
         };
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -80,7 +80,9 @@
             }
         };
         let first = (excluded.len() > tried.len()).then(|| pick(&excluded));
-        let upstream = first.flatten().or_else(|| pick(tried))?;
+        let untried = first.flatten().or_else(|| pick(tried));
+        let again = state.plan.may_try_again();
+        let upstream = untried.or_else(|| again.then(|| pick(&[])).flatten())?;
         let executor = self.instance_of(upstream.node)?;
         Some((upstream, executor))
     }
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -28,7 +28,7 @@
 use crate::request::{RequestPhase, RequestState};
 
 /// Retry delay given to callers that a leaving or starting node refuses.
-const NODE_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(crate) const NODE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum time that a request waits for a share of its customer's limits.
 const MAX_SHARE_WAIT: Duration = Duration::from_secs(1);
 
@@ -139,6 +139,8 @@
             arrivals: 0,
             first_arrival,
             repeats_refused: 0,
+            overloaded: 0,
+            wait: None,
             last: None,
             last_upstream: None,
             crashed_twice: false,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -15,6 +15,7 @@
 use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
 
+use crate::caller_queue::WaitState;
 use crate::command::NodeCommand;
 use crate::discovery::DiscoveryState;
 use crate::dispatch::OVERDUE_AVOIDANCE;
@@ -25,6 +26,7 @@
 use crate::leaving::LeavingRecords;
 use crate::limit_records::LimitRecords;
 use crate::local_upstream::LocalUpstream;
+use crate::note::WaitEnd;
 use crate::quotas::QuotaState;
 use crate::request::{RequestState, WorkState};
 use crate::settings::EngineSettings;
@@ -106,6 +108,8 @@
     /// Upstreams of other nodes that are not selected for the moment, and until when.
     pub(crate) avoided_upstreams: BTreeMap<UpstreamId, Duration>,
     pub(crate) requests: BTreeMap<RequestId, RequestState>,
+    /// Requests that wait until a backend server is likely to accept them.
+    pub(crate) waits: WaitState,
     pub(crate) works: BTreeMap<WorkId, WorkState>,
     /// Work that waits for a turn to run, by the number of its request to the crash registry.
     pub(crate) awaiting_turn: BTreeMap<u64, WorkId>,
@@ -184,6 +188,7 @@
         } else {
             LeavingRecords::without_lookup()
         };
+        let waits = WaitState::new(&settings.overload);
         Self {
             guard: GuardNode::new(identity, settings.guard.clone(), seed),
             shares: ShareNode::new(own.instance, settings.share.clone()),
@@ -209,6 +214,7 @@
             fences: BTreeMap::new(),
             avoided_upstreams: BTreeMap::new(),
             requests: BTreeMap::new(),
+            waits,
             works: BTreeMap::new(),
             awaiting_turn: BTreeMap::new(),
             held_failures: BTreeMap::new(),
@@ -410,6 +416,7 @@
             self.pull_fleet_contract(now, out);
             self.tick_quotas(now, out);
             self.tick_holder_counts(now);
+            self.tick_caller_queue(now, out);
         } else {
             self.maintain_contracts(now, out);
             self.pull_contracts(now, out);
@@ -438,6 +445,7 @@
             return;
         }
         self.draining = Some(now);
+        self.end_all_waits(now, WaitEnd::Draining, out);
         self.handle_roster_event(now, RosterEvent::Leave, out);
         self.handle_guard_event(now, sycamorelink_guard::GuardEvent::DrainRequested, out);
     }
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -9,7 +9,8 @@
     UpstreamId,
 };
 use sycamorelink_guard::GuardNote;
-use sycamorelink_policy::{LoadHint, PoolFinding, SampleKind, UpstreamView};
+use sycamorelink_limits::WaitReason;
+use sycamorelink_policy::{DeclineCounts, LoadHint, PoolFinding, SampleKind, UpstreamView};
 use sycamorelink_roster::{DownCause, RosterNote};
 
 use crate::event::WorkEnd;
@@ -38,6 +39,62 @@
         /// Service for which the retry was meant.
         service: ServiceName,
     },
+    /// A request waits until a backend server is likely to accept it.
+    WaitStarted {
+        /// Id of the request.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// Why the request waits.
+        reason: WaitReason,
+        /// Place in the order of all waiting requests, from 0.
+        place: usize,
+        /// Number of waiting requests, including this one.
+        waiting: usize,
+        /// Time left until the deadline.
+        left: Duration,
+        /// Time until the expected release; `None` if unknown.
+        expected: Option<Duration>,
+    },
+    /// A waiting request is sent to a backend server again.
+    WaitReleased {
+        /// Id of the request.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// Why the request waited.
+        reason: WaitReason,
+        /// Time that the request waited.
+        waited: Duration,
+        /// Time left until the deadline.
+        left: Duration,
+    },
+    /// A request ended while it waited.
+    WaitEnded {
+        /// Id of the request.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// Why the request waited.
+        reason: WaitReason,
+        /// Why the wait ended.
+        end: WaitEnd,
+        /// Time that the request waited.
+        waited: Duration,
+        /// Time left until the deadline.
+        left: Duration,
+    },
+    /// A service started to decline much of its work, or accepts work again.
+    DecliningChanged {
+        /// Name of the service.
+        service: ServiceName,
+        /// Whether the service declines from now on.
+        declining: bool,
+        /// Arrivals on which the decision is based.
+        counts: DeclineCounts,
+        /// Number of requests that wait, for any service.
+        waiting: usize,
+    },
     /// A second attempt was sent before the first one ended.
     HedgeSent {
         /// Id of the request.
@@ -354,6 +411,35 @@
     },
 }
 
+/// Why the wait of a request ended without a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// The time left does not suffice for a run.
+    Expired,
+    /// The queue was full, and a request went before this one.
+    Displaced,
+    /// The caller disconnected.
+    CallerGone,
+    /// The node started to drain.
+    Draining,
+    /// A new contract switched the caller queue off.
+    SwitchedOff,
+}
+
+impl WaitEnd {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Expired => "expired",
+            Self::Displaced => "displaced",
+            Self::CallerGone => "caller-gone",
+            Self::Draining => "draining",
+            Self::SwitchedOff => "switched-off",
+        }
+    }
+}
+
 /// The outcome of one request.
 #[derive(Clone, Debug)]
 pub struct RequestSummary {
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -6,7 +6,7 @@
 use sycamorelink_contract::{AccountRule, CustomerRule, RouteRule};
 use sycamorelink_core::{AttemptId, InstanceId, RequestRefusal, UpstreamId};
 use sycamorelink_guard::{DispatchTicket, KeyId};
-use sycamorelink_limits::{CrashSignature, CustomerIndex};
+use sycamorelink_limits::{CrashSignature, CustomerIndex, WaitReason};
 use sycamorelink_policy::RetryPlan;
 
 use crate::event::{ArrivalKind, AttemptReport, CallerRequest, LifeId, WorkOffer};
@@ -24,6 +24,8 @@
     Dispatched,
     /// Waiting for the executor's answer about the outcome of the only attempt.
     Resolving,
+    /// Waiting until a backend server is likely to accept the request.
+    AwaitingCapacity,
 }
 
 /// An attempt that has not ended.
@@ -89,6 +91,10 @@
     pub first_arrival: ArrivalKind,
     /// Number of attempts that an executor refused because of the bound on repeats.
     pub repeats_refused: u16,
+    /// Number of attempts that an executor refused as `overloaded` since the last wait.
+    pub overloaded: u16,
+    /// Reason for the latest wait in the caller queue; `None` if the request never waited.
+    pub wait: Option<WaitReason>,
     /// Last failed attempt, from which the final answer is made.
     pub last: Option<AttemptReport>,
     /// Upstream of the last failed attempt.
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -2,6 +2,7 @@
 //! commands with a snapshot, others inject random faults and check invariants after each step.
 
 mod audit;
+mod caller_queue;
 mod contract_spread;
 mod faults;
 mod fleet_contract;
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -16,12 +16,13 @@
     ChangeAction, ChangeId, ContractChange, ContractVersion, FleetContract, samples,
 };
 use sycamorelink_core::{
-    AttemptId, CustomerName, InstanceId, NodeId, NodeIncarnation, RequestId, RunState, ServiceName,
+    AttemptId, CustomerName, InstanceId, NodeId, NodeIncarnation, RefusalCode, RequestId, RunState,
+    ServiceName,
 };
 use sycamorelink_engine::{
     AttemptOrder, AttemptReport, CallerRequest, ContractAsk, ContractMode, EngineSettings,
-    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, ServerNotice,
-    UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
+    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, NodeNote, PeerMessage, RequestSummary,
+    ServerNotice, UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_limits::WorkId;
@@ -57,6 +58,8 @@
     pub time: Duration,
     /// What it reports about itself in its replies.
     pub notice: ServerNotice,
+    /// Percentage of its work that it declines.
+    pub declined_percent: u32,
 }
 
 impl Default for BackendScript {
@@ -66,6 +69,7 @@
             status: 200,
             time: SERVICE_TIME,
             notice: ServerNotice::default(),
+            declined_percent: 0,
         }
     }
 }
@@ -122,6 +126,10 @@
     pub scripts: BTreeMap<NodeId, BackendScript>,
     /// Number of runs of each request, counted at the backend servers.
     pub runs: BTreeMap<RequestId, u32>,
+    /// Number of the counted runs that a backend server declined.
+    pub declines: BTreeMap<RequestId, u32>,
+    /// Final answer of each request, and its time.
+    pub answers: BTreeMap<RequestId, (Duration, RequestSummary)>,
     /// Times at which each node's backend server was given work.
     pub arrivals: BTreeMap<NodeId, Vec<Duration>>,
     /// Injected faults.
@@ -142,6 +150,8 @@
     first_start: bool,
     /// Gossip limit of each node in bytes per second; `None` for the default.
     gossip_bytes: Option<u32>,
+    /// Changes the settings of each node that starts.
+    adjust: fn(&mut EngineSettings),
     /// The fleet contract that nodes start with; `None` when per-customer contracts are in the log.
     fleet: Option<Arc<FleetContract>>,
     /// Frozen nodes, with the events that wait for them.
@@ -203,6 +213,21 @@
         Self::start_all(count, Some(Arc::new(contract)), None, Some(bytes))
     }
 
+    /// Starts nodes under a fleet contract with changed settings.
+    pub fn start_fleet_adjusted(
+        count: u8,
+        contract: FleetContract,
+        adjust: fn(&mut EngineSettings),
+    ) -> Self {
+        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, None);
+        world.adjust = adjust;
+        for number in 0..count {
+            world.add_node(number, 1);
+        }
+        world.run_for(Duration::from_secs(8));
+        world
+    }
+
     /// Starts nodes under a fleet contract, spread over a number of failure domains.
     pub fn start_fleet_in(domains: u8, count: u8, contract: FleetContract) -> Self {
         Self::start_with(count, Some(Arc::new(contract)), Some(domains))
@@ -231,6 +256,8 @@
             log_reachable: true,
             scripts: BTreeMap::new(),
             runs: BTreeMap::new(),
+            declines: BTreeMap::new(),
+            answers: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             network: NetworkFaults::default(),
             uplinks_busy_until: BTreeMap::new(),
@@ -242,6 +269,7 @@
             fleet,
             first_start: false,
             gossip_bytes,
+            adjust: |_| {},
             frozen: BTreeMap::new(),
             started_at: BTreeMap::new(),
             cursors: BTreeMap::new(),
@@ -301,6 +329,7 @@
             settings.roster.bytes_per_second = bytes;
             settings.roster.burst_bytes = bytes;
         }
+        (self.adjust)(&mut settings);
         let engine = NodeEngine::new(facts, settings, wall, seed);
         self.started_at.insert(id, self.now);
         self.crashed_backends.remove(&id);
@@ -495,6 +524,9 @@
                 self.schedule(Duration::ZERO, QueuedItem::Event(id, Box::new(event)));
             }
             NodeCommand::Dispatch(order) => self.offer(id, *order),
+            NodeCommand::Note(NodeNote::RequestSettled(summary)) => {
+                self.answers.insert(summary.request, (self.now, summary));
+            }
             NodeCommand::RunWork { work, .. } => {
                 let script = self.script(id);
                 self.arrivals.entry(id).or_default().push(self.now);
--- a/crates/engine/tests/session/world/work.rs
+++ b/crates/engine/tests/session/world/work.rs
@@ -176,6 +176,13 @@
         if script.end == WorkEnd::Crashed && self.audit.is_checking() {
             self.crashed_backends.insert(id);
         }
+        if script.declined_percent > 0 && self.rng.random_range(0..100) < script.declined_percent {
+            script.end = WorkEnd::Declined;
+        }
+        if script.end == WorkEnd::Declined {
+            let request = running.attempt.request;
+            *self.declines.entry(request).or_default() += 1;
+        }
         let reply = (script.end == WorkEnd::Replied)
             .then(|| Arc::from(self.audit.reply_of(running.attempt.request)));
         self.audit.on_reply(running.attempt.request, reply.as_ref());
@@ -195,12 +202,14 @@
             WorkEnd::Replied if script.status >= 500 => (SampleKind::Failed, RunState::Ran),
             WorkEnd::Replied => (SampleKind::Served, RunState::Ran),
             WorkEnd::NotStarted => (SampleKind::ConnectionLost, RunState::NotRun),
+            WorkEnd::Declined => (SampleKind::Refused, RunState::NotRun),
             WorkEnd::Crashed => (SampleKind::Crashed, RunState::Unknown),
             _ => (SampleKind::ConnectionLost, RunState::Unknown),
         };
         let mut report = self.report(&running, kind, run);
         report.status = (script.end == WorkEnd::Replied).then_some(script.status);
         report.service_time = Some(script.time);
+        report.code = (script.end == WorkEnd::Declined).then_some(RefusalCode::UpstreamFailed);
         if script.end == WorkEnd::Crashed {
             self.withheld_failures.insert((id, work), (running, report));
             self.release(id);
