Report the requests that wait in the caller queue

Events SL2020 to SL2022 tell when a request starts to wait, is released and ends while it waits; SL8014 and SL8015 when a service starts and stops to decline, with the counts that decided it. The metrics are callers_waiting, callers_released and callers_expired. `sycamorelink trace` sums up the waits of a request. The gauge is sent only where the queue is in use.

--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -14,6 +14,7 @@
 mod periodic;
 mod requests;
 mod roster;
+mod waits;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -187,6 +188,10 @@
             NodeNote::AttemptSent { .. }
             | NodeNote::WorkDecided { .. }
             | NodeNote::WorkDone { .. } => self.record_attempt(note),
+            NodeNote::WaitStarted { .. }
+            | NodeNote::WaitReleased { .. }
+            | NodeNote::WaitEnded { .. }
+            | NodeNote::DecliningChanged { .. } => self.record_wait(note),
             NodeNote::HedgeSent {
                 request,
                 service,
--- a/crates/daemon/src/notes/periodic.rs
+++ b/crates/daemon/src/notes/periodic.rs
@@ -47,6 +47,7 @@
         if offset >= self.missing_head {
             self.set_gauge(MetricName::ContractLag, 0);
         }
+        self.update_wait_gauges(engine);
         let mut loads: BTreeMap<ServiceName, (u64, u64)> = BTreeMap::new();
         for (_, announced, load) in engine.local_upstreams() {
             let (used, queued) = loads.entry(announced.service).or_default();
--- a/crates/ops/src/trace.rs
+++ b/crates/ops/src/trace.rs
@@ -173,6 +173,40 @@
     table
 }
 
+/// Describes the waits of the request in the caller queue; empty if it never waited.
+fn describe_waits(trace: &RequestTrace) -> String {
+    let mut lines = trace.lines.iter();
+    let Some(start) = lines.find(|line| line.has_code(EventCode::RequestWaiting)) else {
+        return String::new();
+    };
+    let ended = |line: &&LogLine| {
+        line.has_code(EventCode::RequestReleased) || line.has_code(EventCode::RequestExpired)
+    };
+    let waits: Vec<String> = trace
+        .lines
+        .iter()
+        .filter(ended)
+        .map(|line| {
+            let released = line.has_code(EventCode::RequestReleased);
+            let end = if released { "released" } else { "ended" };
+            format!(
+                "{end} after {} ({})",
+                line.field("duration"),
+                line.field("reason")
+            )
+        })
+        .collect();
+    let waits = if waits.is_empty() {
+        "and no log has the end of the wait".to_owned()
+    } else {
+        waits.join(", then ")
+    };
+    format!(
+        " It waited at {} from {}: {waits}.",
+        start.source, start.time
+    )
+}
+
 /// Summarizes the outcome of the request in one or two sentences.
 fn describe_outcome(trace: &RequestTrace) -> String {
     let last = |codes: &[EventCode]| {
@@ -200,6 +234,7 @@
         ),
         None => String::new(),
     };
+    let retry_note = retry_note + &describe_waits(trace);
     let Some(end) = end else {
         return match last(&[EventCode::RequestServed]) {
             Some(line) => format!("Served: {}.{retry_note}", line.details()),
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -134,6 +134,9 @@
     2017 WorkStarted Debug "work-started" "work was handed to the backend server beside this daemon";
     2018 WorkRefused Debug "work-refused" "work for the backend server beside this daemon was refused as not run";
     2019 WorkEnded Debug "work-ended" "work ended at the backend server beside this daemon";
+    2020 RequestWaiting Debug "request-waiting" "a request waits until a backend server is likely to accept it";
+    2021 RequestReleased Debug "request-released" "a waiting request is sent to a backend server again";
+    2022 RequestExpired Debug "request-expired" "a request ended while it waited";
 
     3001 UpstreamSuspected Info "upstream-suspected" "an upstream is doing worse than its peers or its own past";
     3002 WeightShifted Info "weight-shifted" "an upstream gets less work";
@@ -227,6 +230,8 @@
     8011 BurnFast Error "burn-fast" "a service burns its error budget fast";
     8012 BurnSlow Warn "burn-slow" "a service burns its error budget faster than it can bear";
     8013 BurnEnded Info "burn-ended" "a service is back within its error budget";
+    8014 ServiceDeclining Warn "service-declining" "a service declines much of its work and declined requests wait";
+    8015 ServiceAccepting Info "service-accepting" "a service accepts work again and waiting requests are released";
 
     9001 PeerForeign Warn "peer-foreign" "a peer that is not of this fleet was refused";
     9002 PeerVersion Warn "peer-version" "a peer speaks an unknown version of the inner protocol";
--- a/crates/telemetry/src/event/entries/load.rs
+++ b/crates/telemetry/src/event/entries/load.rs
@@ -103,4 +103,21 @@
         meaning: "The short window is back below its threshold.",
         action: "Nothing. The budget that was used stays used until the window has passed.",
     },
+    EventEntry {
+        code: EventCode::ServiceDeclining,
+        reserved: false,
+        meaning: "Three or more backend servers of the service answered that they did not run work, \
+                for 30% or more of the last arrivals from this daemon. `count` is the number of \
+                declined arrivals, `limit` that of all arrivals. Declined requests wait in place of \
+                being sent again.",
+        action: "Find out from the service's owner why its servers decline work. New requests are \
+                still sent, and show when the service accepts work again.",
+    },
+    EventEntry {
+        code: EventCode::ServiceAccepting,
+        reserved: false,
+        meaning: "Fewer than 10% of the last arrivals from this daemon were declined, or there were \
+                none for four seconds. `count` and `limit` are as with `SL8014`.",
+        action: "Nothing.",
+    },
 ];
--- a/crates/telemetry/src/event/entries/request.rs
+++ b/crates/telemetry/src/event/entries/request.rs
@@ -149,4 +149,31 @@
                 outcome.",
         action: "Nothing.",
     },
+    EventEntry {
+        code: EventCode::RequestWaiting,
+        reserved: false,
+        meaning: "The service declines the request, no server has a repeat left for it, or none \
+                has a free slot soon. It waits at the daemon that took it. `reason` has the cause, \
+                the place in the order and the expected release, `count` the number of waiting \
+                requests and `limit` the time left.",
+        action: "Nothing for one. For the number of waiting requests see the metric \
+                `callers_waiting`.",
+    },
+    EventEntry {
+        code: EventCode::RequestReleased,
+        reserved: false,
+        meaning: "The request waited for `duration` and is now sent to a backend server. `reason` \
+                has the cause of the wait and `limit` the time left.",
+        action: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::RequestExpired,
+        reserved: false,
+        meaning: "The request waited for `duration` and got its last refusal or failure, because \
+                its time left is too short for a run, the queue was full, its caller went away, \
+                the daemon drains or the queue was switched off; `reason` says which. `limit` is \
+                the time left.",
+        action: "Many with `expired` mean that the service was short of capacity or of repeats for \
+                longer than its callers wait: look for `SL8014` and at the metric `retries`.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -180,6 +180,12 @@
         "Burn rate of the error budget over 5m or 1h: at 1000 the budget is used up exactly at the end of its window. Read every half minute.";
     MetricsDropped Counter "metrics_dropped" "samples" []
         "Samples that could not be sent.";
+    CallersWaiting Gauge "callers_waiting" "requests" ["reason"]
+        "Requests that wait at the daemon that took them, by reason: declining (their service declines work), no-repeats or no-capacity. Only with overload control.";
+    CallersReleased Counter "callers_released" "requests" ["service" "reason"]
+        "Waiting requests that were sent to a backend server again, by the reason of the wait.";
+    CallersExpired Counter "callers_expired" "requests" ["service" "end"]
+        "Requests that ended while they waited: expired, displaced, caller-gone, draining or switched-off.";
 }
 
 /// Metrics that no code sends yet.
--- a/tests/testsuite/cli/trace.rs
+++ b/tests/testsuite/cli/trace.rs
@@ -37,6 +37,15 @@
     insta::assert_snapshot!(run(&["trace", "41eada88dc8239b0", LOG]));
 }
 
+// A service declines a read, which waits, meets a server without repeats and waits until no run fits
+// into its time left. Guards against a trace that leaves out why and where the request spent its
+// time. The log is written by hand in the format of the daemons.
+#[test]
+fn waits_in_the_caller_queue_are_shown() {
+    let log = "tests/testsuite/cli/logs/waits.log";
+    insta::assert_snapshot!(run(&["trace", "7f0000000000a001", log]));
+}
+
 #[test]
 fn unknown_request_and_missing_log_are_errors() {
     let texts = [
