Test that a request with a consumed body does not wait

The first attempt of a request that is not buffered consumes its body. Without the check in may_wait the request would wait and be sent again without it: the new test fails then.

--- a/crates/engine/tests/session/caller_queue.rs
+++ b/crates/engine/tests/session/caller_queue.rs
@@ -388,6 +388,21 @@
     assert_eq!(fleet.world.runs.get(&request), Some(&1));
 }
 
+// Guards against sending a request again whose body was consumed by its first attempt.
+#[test]
+fn request_with_a_consumed_body_does_not_wait() {
+    let mut fleet = LoadedFleet::start(0, with_queue);
+    decline(&mut fleet.world, NODES, 100);
+    fleet.load(Duration::from_secs(2));
+    fleet.calls += 1;
+    fleet
+        .world
+        .call_streamed("a", fleet.calls, "GET", "/prices/a");
+    let request = RequestId(fleet.calls);
+    fleet.run_for(Duration::from_secs(1));
+    assert!(fleet.latency(request) < Duration::from_secs(1));
+}
+
 // Guards against a drain that waits for callers' deadlines, and against a refusal that claims a run
 // or gives no time to retry.
 #[test]
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -441,20 +441,19 @@
         target: &str,
         key: Option<&str>,
     ) {
+        self.send_request(name, caller_request(number, method, target, key));
+    }
+
+    /// Sends a caller's request whose body is too large to be kept for another attempt.
+    pub fn call_streamed(&mut self, name: &str, number: u128, method: &str, target: &str) {
         let caller = CallerRequest {
-            label: Arc::from(number.to_string()),
-            id: RequestId(number),
-            token: Arc::from(TOKEN),
-            account_key: None,
-            method: Arc::from(method),
-            host: Arc::from(""),
-            path: Arc::from(target),
-            target: Arc::from(target),
-            key: key.map(Arc::from),
-            body_length: Some(7),
-            replayable: true,
-            time_left: None,
+            replayable: false,
+            ..caller_request(number, method, target, None)
         };
+        self.send_request(name, caller);
+    }
+
+    fn send_request(&mut self, name: &str, caller: CallerRequest) {
         self.audit.on_request(self.now, node(name), &caller);
         self.feed(node(name), NodeEvent::RequestArrived(caller));
     }
@@ -658,6 +657,23 @@
     }
 }
 
+fn caller_request(number: u128, method: &str, target: &str, key: Option<&str>) -> CallerRequest {
+    CallerRequest {
+        label: Arc::from(number.to_string()),
+        id: RequestId(number),
+        token: Arc::from(TOKEN),
+        account_key: None,
+        method: Arc::from(method),
+        host: Arc::from(""),
+        path: Arc::from(target),
+        target: Arc::from(target),
+        key: key.map(Arc::from),
+        body_length: Some(7),
+        replayable: true,
+        time_left: None,
+    }
+}
+
 fn is_patch_pull(message: &PeerMessage) -> bool {
     let PeerMessage::ContractPull { ask } = message else {
         return false;
