Learn the concurrency limit of a backend server from its run times

A backend server whose run times grow steeply with concurrency serves less when all of its slots are used, and the gate has no limit below the number of slots.

ConcurrencyLimit fits run times against the number of concurrent runs within periods of ten seconds, each with a level of its own. A server that becomes slow as a whole, or warms up, therefore does not look like one that grows slower with concurrency. The limit decreases if the fit shows a twentieth more replies per second at two standard errors, and still shows it without any two successive periods. Every five seconds in which the limit is reached it rises by one as a trial. A rise that yields under half of what a server without growth would gain is taken back, and is followed by a trial one below. Regressing on the mean concurrency of a run instead of the mean of the terms of the curve halved the estimated growth and was given up.

A server that is full all the time shows no growth, since its concurrency does not vary. with_probes() lowers the limit by a quarter for five seconds at growing intervals. Probes are off by default, because they lower the limit without evidence. The type is not used by a gate yet.

--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -4,6 +4,8 @@
 //! [`OverloadSettings::objective_from`]. All other fleets keep the gates and budgets of the sibling
 //! modules.
 
+mod concurrency;
 mod settings;
 
+pub use concurrency::{ConcurrencyLimit, RunEnd};
 pub use settings::OverloadSettings;
