Add a queue that client accounts share fairly

All work under a fleet contract waits in one lane, so an account that sends much fills the queue of a backend server and others are refused.

FairQueue has a lane for each account within a priority, scheduled by the service time used. Work without a known account has at least one start in four. Within a lane work in time goes before late work, then the earliest latest start. One start in ten, and a tenth of a full queue, go to lower priorities. A full queue loses the newest work of the account most above its share.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -29,7 +29,7 @@
     CrashSettings, CrashSignature, CrashVictim,
 };
 pub use holder_count::HolderCount;
-pub use overload::{ConcurrencyLimit, OverloadSettings, RunEnd};
+pub use overload::{ConcurrencyLimit, FairQueue, OverloadSettings, QueueEntry, RunEnd};
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
     UsageReport,
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -5,7 +5,9 @@
 //! modules.
 
 mod concurrency;
+mod fair;
 mod settings;
 
 pub use concurrency::{ConcurrencyLimit, RunEnd};
+pub use fair::{FairQueue, QueueEntry};
 pub use settings::OverloadSettings;
