Attribute calls of backend servers to the runs that make them

Calls of backend servers carry no account key, so they would all wait in the lane for work without a known account, at the priority of their own route.

A call ends at the deadline of the run that makes it. The daemon beside the server compares the time left of a request without an account key with the deadlines of its running work. The bound on repeats charges the call as one of that run, instead of by the estimated share of repeats among all runs.

--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -317,12 +317,16 @@
     Some(latest.saturating_sub(now))
 }
 
+/// Returns the terms for the executor. A call has the account and the objective of the run that made it.
 fn work_terms(now: Duration, state: &RequestState) -> WorkTerms {
     let objective = state.rule.objective;
-    let objective_at = objective.map(|objective| state.arrived + objective.latency);
+    let own_objective = objective.map(|objective| state.arrived + objective.latency);
+    let called_by = state.called_by.as_ref();
+    let objective_at = called_by.and_then(|run| run.objective).or(own_objective);
+    let own_account = state.account.as_ref().map(|rule| rule.name().clone());
     WorkTerms {
         objective_left: objective_at.map(|at| at.saturating_sub(now)),
-        account: state.account.as_ref().map(|rule| rule.name().clone()),
+        account: own_account.or_else(|| called_by.and_then(|run| run.account.clone())),
     }
 }
 
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -95,7 +95,8 @@
                 RequestRefusal::not_run(RefusalCode::NotReady).retry_after(NODE_RETRY_DELAY)
             );
         }
-        let (customer, rule, account) = self.route_of(&caller).map_err(RequestRefusal::not_run)?;
+        let (customer, mut rule, account) =
+            self.route_of(&caller).map_err(RequestRefusal::not_run)?;
         if caller
             .body_length
             .is_some_and(|length| length > rule.max_body)
@@ -111,7 +112,12 @@
             .time_left
             .map_or(rule.deadline, |left| left.min(rule.deadline));
         let idempotent = rule.repeat == RepeatClass::Idempotent;
-        let first_arrival = self.first_arrival(&rule.service, account.is_some());
+        let called_by = self.calling_run(now, &caller);
+        let first_arrival =
+            self.first_arrival(&rule.service, account.is_some(), called_by.as_ref());
+        if let Some(run) = &called_by {
+            rule.priority = run.priority;
+        }
         let signature = CrashSignature::of(
             rule.terms.customer.as_str(),
             &format!("{} {}", caller.method, caller.target),
@@ -138,6 +144,7 @@
             uncertain: 0,
             arrivals: 0,
             first_arrival,
+            called_by,
             repeats_refused: 0,
             last: None,
             last_upstream: None,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod agreement;
 mod announcing;
+mod attribution;
 mod breaker;
 mod budgets;
 mod command;
--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -20,6 +20,7 @@
 use sycamorelink_limits::{BudgetPart, BudgetSettings, HolderCount, RetryBudget, WorkId};
 use sycamorelink_policy::{OpenWork, PolicyMechanism};
 
+use crate::attribution::{CallingRun, open_work};
 use crate::budgets::share_to_percent;
 use crate::event::{ArrivalKind, WorkOffer};
 use crate::node::NodeEngine;
@@ -175,19 +176,24 @@
     /// bound. A call does not say which run made it. Of the requests to other services that enter
     /// at this node, the fraction charged therefore equals the fraction of repeats among the local
     /// runs of work that makes calls. This is correct on average, and slightly too much if callers
-    /// of this node without an account key are among them.
-    pub(crate) fn first_arrival(&mut self, service: &ServiceName, keyed: bool) -> ArrivalKind {
+    /// of this node without an account key are among them. If the run that made the call is known,
+    /// the call counts as its call alone.
+    pub(crate) fn first_arrival(
+        &mut self,
+        service: &ServiceName,
+        keyed: bool,
+        called_by: Option<&CallingRun>,
+    ) -> ArrivalKind {
         if !self.counts_repeats_at_executor() || self.runs(service) || keyed {
             return ArrivalKind::First;
         }
-        let running = self.works.values();
-        let running = running.filter(|state| state.phase == WorkPhase::Running);
-        let open: Vec<OpenWork> = running
-            .map(|state| OpenWork {
-                kind: state.offer.kind,
-                repeat: state.offer.arrival == ArrivalKind::Repeat,
-            })
-            .collect();
+        let open: Vec<OpenWork> = if let Some(run) = called_by {
+            vec![run.open]
+        } else {
+            let running = self.works.values();
+            let running = running.filter(|state| state.phase == WorkPhase::Running);
+            running.map(open_work).collect()
+        };
         let repeat_fraction = self.call_rates.called(&open);
         if repeat_fraction > 0.0 && self.fleet.random.random::<f64>() < repeat_fraction {
             ArrivalKind::CalledByRepeat
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -9,6 +9,7 @@
 use sycamorelink_limits::{CrashSignature, CustomerIndex};
 use sycamorelink_policy::RetryPlan;
 
+use crate::attribution::CallingRun;
 use crate::event::{ArrivalKind, AttemptReport, CallerRequest, LifeId, WorkOffer};
 
 /// Phase of a request at its ingress node.
@@ -87,6 +88,8 @@
     pub arrivals: u16,
     /// Kind of the first arrival at a backend server, for the bound on repeats.
     pub first_arrival: ArrivalKind,
+    /// Run on a local backend server that made the request as a call; `None` if none is known.
+    pub(crate) called_by: Option<CallingRun>,
     /// Number of attempts that an executor refused because of the bound on repeats.
     pub repeats_refused: u16,
     /// Last failed attempt, from which the final answer is made.
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -142,6 +142,10 @@
     first_start: bool,
     /// Gossip limit of each node in bytes per second; `None` for the default.
     gossip_bytes: Option<u32>,
+    /// Longest objective from which overload control takes effect; `None` switches it off.
+    objective_from: Option<Duration>,
+    /// All attempts that the nodes ordered.
+    pub orders: Vec<AttemptOrder>,
     /// The fleet contract that nodes start with; `None` when per-customer contracts are in the log.
     fleet: Option<Arc<FleetContract>>,
     /// Frozen nodes, with the events that wait for them.
@@ -242,6 +246,8 @@
             fleet,
             first_start: false,
             gossip_bytes,
+            objective_from: None,
+            orders: Vec::new(),
             frozen: BTreeMap::new(),
             started_at: BTreeMap::new(),
             cursors: BTreeMap::new(),
@@ -254,13 +260,29 @@
             trace_paused: true,
             trace: Vec::new(),
         };
-        world.append(LogStream::Contracts, sample_change());
+        world.start_nodes(count);
+        world
+    }
+
+    /// Starts nodes under a fleet contract, with overload control from an objective on.
+    pub fn start_fleet_with_overload(
+        count: u8,
+        contract: FleetContract,
+        objective_from: Duration,
+    ) -> Self {
+        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, None);
+        world.objective_from = Some(objective_from);
+        world.start_nodes(count);
+        world
+    }
+
+    fn start_nodes(&mut self, count: u8) {
+        self.append(LogStream::Contracts, sample_change());
         for number in 0..count {
-            world.add_node(number, 1);
+            self.add_node(number, 1);
         }
-        world.run_for(Duration::from_secs(8));
-        world.trace_paused = false;
-        world
+        self.run_for(Duration::from_secs(8));
+        self.trace_paused = false;
     }
 
     /// Starts a node without stored state, and announces its backend server.
@@ -297,6 +319,7 @@
             settings.contracts = ContractMode::Fleet;
             settings.gate.warm_up = Duration::ZERO;
         }
+        settings.overload.objective_from = self.objective_from;
         if let Some(bytes) = self.gossip_bytes {
             settings.roster.bytes_per_second = bytes;
             settings.roster.burst_bytes = bytes;
@@ -412,7 +435,13 @@
         target: &str,
         key: Option<&str>,
     ) {
-        let caller = CallerRequest {
+        let caller = Self::caller(number, method, target, key);
+        self.send_caller(name, caller);
+    }
+
+    /// Returns a caller's request without an account key and a time left.
+    pub fn caller(number: u128, method: &str, target: &str, key: Option<&str>) -> CallerRequest {
+        CallerRequest {
             label: Arc::from(number.to_string()),
             id: RequestId(number),
             token: Arc::from(TOKEN),
@@ -425,7 +454,11 @@
             body_length: Some(7),
             replayable: true,
             time_left: None,
-        };
+        }
+    }
+
+    /// Sends a caller's request to a node.
+    pub fn send_caller(&mut self, name: &str, caller: CallerRequest) {
         self.audit.on_request(self.now, node(name), &caller);
         self.feed(node(name), NodeEvent::RequestArrived(caller));
     }
@@ -494,7 +527,10 @@
                 };
                 self.schedule(Duration::ZERO, QueuedItem::Event(id, Box::new(event)));
             }
-            NodeCommand::Dispatch(order) => self.offer(id, *order),
+            NodeCommand::Dispatch(order) => {
+                self.orders.push((*order).clone());
+                self.offer(id, *order);
+            }
             NodeCommand::RunWork { work, .. } => {
                 let script = self.script(id);
                 self.arrivals.entry(id).or_default().push(self.now);
