--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -161,6 +161,8 @@
     first_start: bool,
     /// Settings of each node, apart from those that the fields here determine.
     settings: EngineSettings,
+    /// All attempts that the nodes ordered.
+    pub orders: Vec<AttemptOrder>,
     /// The fleet contract that nodes start with; `None` when per-customer contracts are in the log.
     fleet: Option<Arc<FleetContract>>,
     /// Frozen nodes, with the events that wait for them.
@@ -342,6 +344,7 @@
             fleet,
             first_start: false,
             settings,
+            orders: Vec::new(),
             frozen: BTreeMap::new(),
             loan_messages: Vec::new(),
             started_at: BTreeMap::new(),
@@ -355,13 +358,28 @@
             trace_paused: true,
             trace: Vec::new(),
         };
-        world.append(LogStream::Contracts, sample_change());
+        world.start_nodes(count);
+        world
+    }
+
+    /// Starts nodes under a fleet contract, with overload control from an objective on.
+    pub fn start_fleet_controlled(
+        count: u8,
+        contract: FleetContract,
+        objective_from: Duration,
+    ) -> Self {
+        let mut settings = EngineSettings::default();
+        settings.overload.objective_from = Some(objective_from);
+        Self::start_all(count, Some(Arc::new(contract)), None, settings)
+    }
+
+    fn start_nodes(&mut self, count: u8) {
+        self.append(LogStream::Contracts, sample_change());
         for number in 0..count {
-            world.add_node(number, 1);
+            self.add_node(number, 1);
         }
-        world.run_for(Duration::from_secs(8));
-        world.trace_paused = false;
-        world
+        self.run_for(Duration::from_secs(8));
+        self.trace_paused = false;
     }
 
     /// Starts a node without stored state, and announces its backend server.
@@ -509,7 +527,7 @@
         target: &str,
         key: Option<&str>,
     ) {
-        self.send_request(name, caller_request(number, method, target, key));
+        self.send_caller(name, caller_request(number, method, target, key));
     }
 
     /// Sends a caller's request whose body is too large to be kept for another attempt.
@@ -518,10 +536,11 @@
             replayable: false,
             ..caller_request(number, method, target, None)
         };
-        self.send_request(name, caller);
+        self.send_caller(name, caller);
     }
 
-    fn send_request(&mut self, name: &str, caller: CallerRequest) {
+    /// Sends a caller's request to a node.
+    pub fn send_caller(&mut self, name: &str, caller: CallerRequest) {
         self.audit.on_request(self.now, node(name), &caller);
         self.feed(node(name), NodeEvent::RequestArrived(caller));
     }
@@ -590,7 +609,10 @@
                 };
                 self.schedule(Duration::ZERO, QueuedItem::Event(id, Box::new(event)));
             }
-            NodeCommand::Dispatch(order) => self.offer(id, *order),
+            NodeCommand::Dispatch(order) => {
+                self.orders.push((*order).clone());
+                self.offer(id, *order);
+            }
             NodeCommand::Note(NodeNote::RequestSettled(summary)) => {
                 let forecast = summary.forecast.map(|forecast| (summary.request, forecast));
                 self.forecasts.extend(forecast);
@@ -752,7 +774,12 @@
     encoded.map_or(0, |bytes| bytes.len())
 }
 
-fn caller_request(number: u128, method: &str, target: &str, key: Option<&str>) -> CallerRequest {
+pub fn caller_request(
+    number: u128,
+    method: &str,
+    target: &str,
+    key: Option<&str>,
+) -> CallerRequest {
     CallerRequest {
         label: Arc::from(number.to_string()),
         id: RequestId(number),
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -30,9 +30,10 @@
 };
 pub use holder_count::HolderCount;
 pub use overload::{
-    CallerQueue, DeadlineGate, GrantError, JoinDecision, LOAN_DURATION, LoanAsk, LoanAskHistory,
-    LoanCandidate, OverloadSettings, QueueCount, QueueEvent, QueuePlace, ReleasePace, RepeatBooks,
-    RepeatOrigin, WaitEntry, WaitReason, WaitTerms,
+    CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
+    LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, OverloadSettings, QueueCount,
+    QueueEntry, QueueEvent, QueuePlace, ReleasePace, RepeatBooks, RepeatOrigin, RunEnd, WaitEntry,
+    WaitReason, WaitTerms,
 };
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -13,6 +13,8 @@
 //! ```
 
 mod caller_queue;
+mod concurrency;
+mod fair;
 mod gate;
 mod gate_admission;
 mod gate_builder;
@@ -25,6 +27,8 @@
 mod settings;
 
 pub use caller_queue::{CallerQueue, JoinDecision, WaitEntry, WaitReason, WaitTerms};
+pub use concurrency::{ConcurrencyLimit, RunEnd};
+pub use fair::{FairQueue, QueueEntry};
 pub use gate::DeadlineGate;
 pub use gate_builder::DeadlineGateBuilder;
 pub use loans::{
