Add retry delays that follow the free capacity of a service

Each gate spaced the retry delays of its own refusals, so the callers that 76 daemons refuse within a second returned as a second burst. The new type spaces them at the daemon's part of the rate of the service, in the order of refusal, and promises nothing to callers whose objective is lost. Not in use yet.

--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -4,6 +4,8 @@
 //! [`OverloadSettings::objective_from`]. All other fleets keep the gates and budgets of the sibling
 //! modules.
 
+mod returns;
 mod settings;
 
+pub use returns::{CallerNeed, ReturnAdvice, ReturnPacer, ServiceOutlook};
 pub use settings::OverloadSettings;
