--- a/crates/limits/tests/paced_returns.rs
+++ b/crates/limits/tests/paced_returns.rs
@@ -91,7 +91,7 @@
 fn stopped_service_promises_nothing() {
     let stopped = ServiceOutlook {
         rate: 0.0,
-        backlog: Duration::from_secs(3_600),
+        backlog: Duration::from_hours(1),
         ..outlook(0)
     };
     let mut pacer = ReturnPacer::default();
