--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -23,6 +23,7 @@
 mod queue;
 mod queue_report;
 mod release_pace;
+mod returns;
 mod run_cost;
 mod settings;
 
@@ -38,5 +39,6 @@
 pub use queue::{DeadlineQueue, QueueCount, WaitingWork};
 pub use queue_report::{QueueEvent, QueuePlace};
 pub use release_pace::ReleasePace;
+pub use returns::{CallerNeed, ReturnAdvice, ReturnPacer, ServiceOutlook};
 pub use run_cost::RunCosts;
 pub use settings::OverloadSettings;
