Keep back slack for loans only where overload control applies

Cause: a restarted daemon held its slack at zero for 11 s instead of 10 s as soon as limits.overload.objective_from was set, even if it was longer than every objective of the contract. Overload control is off there, and nothing may change.

Change: may_have_lent uses lends_repeats, which considers the contract.

--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -312,9 +312,9 @@
     /// A loan may be used until its end, a second after the previous incarnation granted it, and
     /// counts for one window from then on.
     fn may_have_lent(&self, now: Duration) -> bool {
-        let overload = self.settings.overload.objective_from.is_some();
-        let lends = overload && self.settings.policy.is_on(PolicyMechanism::RepeatLoans);
-        lends && !self.settings.first_start && now < REPEAT_WINDOW + LOAN_DURATION
+        self.lends_repeats()
+            && !self.settings.first_start
+            && now < REPEAT_WINDOW + LOAN_DURATION
     }
 
     /// Updates and returns the number of servers among which the bound of a service is divided.
--- a/crates/engine/tests/session/repeat_loans.rs
+++ b/crates/engine/tests/session/repeat_loans.rs
@@ -224,6 +224,22 @@
     assert_eq!(ask_node_a(&mut world, 1 << 42), Some(3));
 }
 
+// Guards against a restarted daemon that keeps back its slack for loans although overload control does
+// not apply, since no route has an objective that long: its slack returns after one window.
+#[test]
+fn restarted_daemon_without_overload_control_has_slack_after_one_window() {
+    for objective_from in [None, Some(OBJECTIVE + Duration::from_secs(1))] {
+        let mut world = fleet_with(objective_from, &[]);
+        world.kill("a");
+        world.add_node(0, 2);
+        world.run_for(WINDOW + Duration::from_millis(100));
+        let before = world.arrivals.get(&node("a")).map_or(0, Vec::len);
+        offer_to_node_a(&mut world, 0, ArrivalKind::Repeat);
+        let after = world.arrivals.get(&node("a")).map_or(0, Vec::len);
+        assert_eq!(after, before + 1, "from {objective_from:?}");
+    }
+}
+
 // Guards against a duplicated ask that is granted twice, and against a lender that is leaving.
 #[test]
 fn lender_answers_once_and_lends_nothing_while_it_leaves() {
