Drop capacity records after a pause that the clock does not show

Cause: a process whose monotonic clock stood still during a pause, as in a suspended virtual machine, ended its loans on NodeEvent::Resumed but kept the capacity records of peers and accepted the reports that had waited in its sockets. Their ages do not include the pause.

Change: Resumed drops the records and ignores reports for one report interval, as a pause that the clock shows does.

--- a/crates/engine/src/capacity.rs
+++ b/crates/engine/src/capacity.rs
@@ -124,10 +124,7 @@
         let elapsed = self.last_tick.map(|last| now.checked_sub(last));
         let is_resuming = elapsed.is_some_and(|time| time.is_none_or(|time| time >= PAUSE_TIME));
         if is_resuming {
-            self.tables.values_mut().for_each(CapacityTable::clear);
-            self.invalid_events.clear();
-            self.ignores_until = now + report_interval;
-            self.next_report = now;
+            self.restart_after_pause(now, report_interval);
         }
         self.last_tick = Some(now);
         for table in self.tables.values_mut() {
@@ -137,6 +134,14 @@
             .retain(|_, at| now < *at + INVALID_EVENT_INTERVAL);
     }
 
+    /// Drops all records, and ignores reports that may have waited during the pause.
+    fn restart_after_pause(&mut self, now: Duration, report_interval: Duration) {
+        self.tables.values_mut().for_each(CapacityTable::clear);
+        self.invalid_events.clear();
+        self.ignores_until = now + report_interval;
+        self.next_report = now;
+    }
+
     /// Returns whether reports may have waited during a pause of this process.
     fn ignores_reports(&self, now: Duration) -> bool {
         let elapsed = self.last_tick.and_then(|last| now.checked_sub(last));
@@ -224,6 +229,15 @@
         }
     }
 
+    /// Drops all records after a pause that the monotonic clock may not show, since their ages do not
+    /// include it.
+    pub(crate) fn drop_capacity_records(&mut self, now: Duration) {
+        if self.uses_capacity_reports() {
+            let interval = self.settings.overload.report_interval;
+            self.capacity.restart_after_pause(now, interval);
+        }
+    }
+
     fn refresh_receivers(&mut self, now: Duration) {
         if now < self.capacity.next_refresh {
             return;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -328,7 +328,10 @@
             NodeEvent::LogReachable(reachable) => self.on_log_reachable(now, reachable, out),
             NodeEvent::ContractReadBack { offset, bytes } => self.on_read_back(offset, &bytes),
             NodeEvent::DrainRequested => self.on_drain(now, out),
-            NodeEvent::Resumed => self.on_resumed(out),
+            NodeEvent::Resumed => {
+                self.drop_capacity_records(now);
+                self.on_resumed(out);
+            }
             NodeEvent::Departed => {
                 self.departed = true;
                 self.handle_roster_event(now, RosterEvent::Depart, out);
--- a/crates/engine/tests/session/capacity.rs
+++ b/crates/engine/tests/session/capacity.rs
@@ -289,6 +289,25 @@
     assert_eq!(records_at(&world, "a"), known);
 }
 
+// Guards against records that count as fresh after a pause in which the clock of the process stood
+// still, and against reports that waited in its sockets meanwhile.
+#[test]
+fn records_are_dropped_after_a_pause_that_the_clock_does_not_show() {
+    let mut world = fleet_with(controlled(), Duration::from_millis(20));
+    let known = records_at(&world, "a");
+    world.send_event("a", NodeEvent::Resumed);
+    assert_eq!(records_at(&world, "a"), 0);
+    let from = world.engines()[&node("c")].own_instance();
+    let message = PeerMessage::Capacity {
+        service: ServiceName::new("orders"),
+        records: vec![idle_record("c", u32::MAX)],
+    };
+    world.send_event("a", NodeEvent::PeerReceived { from, message });
+    assert_eq!(records_at(&world, "a"), 0);
+    world.run_for(SETTLE_TIME);
+    assert_eq!(records_at(&world, "a"), known);
+}
+
 // Guards against records that are used after overload control is switched off by a new contract.
 #[test]
 fn contract_without_long_objectives_ends_the_reports() {
