Release requests that wait for capacity when no reports arrive

Cause: a request that waits for a free slot was released only if the forecast named one. Without a valid capacity record there is no forecast, so the request waited until it could no longer be served, although every server was idle.

Change: while no record of another node is valid, such requests are released at the pace of the queue, like those that wait for a repeat.

--- a/crates/engine/src/caller_queue.rs
+++ b/crates/engine/src/caller_queue.rs
@@ -274,8 +274,10 @@
     }
 
     fn release_waits(&mut self, now: Duration, service: &ServiceName, out: &mut Vec<NodeCommand>) {
+        // Without records nobody tells when a slot is free, so the releases find out.
+        let has_records = self.prepare_capacity(now, service);
         let forecast = self.capacity_forecast(now, service);
-        let has_capacity = forecast.is_some_and(|forecast| forecast.has_free_slot);
+        let has_capacity = !has_records || forecast.is_some_and(|forecast| forecast.has_free_slot);
         let waits = self.waits.services.entry(service.clone()).or_default();
         let count = waits.pace.allowance(now);
         let declining = waits.monitor.is_declining();
--- a/crates/engine/tests/session/caller_queue.rs
+++ b/crates/engine/tests/session/caller_queue.rs
@@ -372,6 +372,37 @@
     assert!(repeats <= 8, "{repeats} repeats");
 }
 
+// Guards against requests that wait for a free slot until they can't be served, because the node no
+// longer hears which servers have one.
+#[test]
+fn request_without_capacity_is_released_when_no_reports_arrive() {
+    let mut fleet = LoadedFleet::start(400, with_queue);
+    // The servers are full for longer than a record is valid.
+    for name in (0..NODES).map(name_of) {
+        let script = BackendScript {
+            time: RUN_TIME * 2,
+            ..BackendScript::default()
+        };
+        fleet.world.scripts.insert(node(&name), script);
+    }
+    for _ in 0..1_500 {
+        fleet.call("a", 1);
+    }
+    fleet.run_for(Duration::from_millis(500));
+    let waiting = fleet.waiting(WaitReason::NoCapacity);
+    assert!(waiting > 0, "none waits for capacity");
+    fleet.world.network.capacity_lost = true;
+    fleet.run_for(DRAIN_TIME);
+    let released = fleet.world.releases.keys();
+    let served = released.filter(|id| fleet.world.runs.contains_key(id));
+    let served = served.count();
+    // All could run in the seconds that the servers are idle, and the pace of releases grows at first.
+    assert!(
+        served * 2 > waiting,
+        "{served} of {waiting} were served after their wait"
+    );
+}
+
 // Guards against keeping requests whose callers went away.
 #[test]
 fn request_of_a_gone_caller_leaves_the_queue() {
