Apply the share of a new contract to existing repeat books

Cause: the books of a backend server were created with the share of the contract in force at its first repeat and kept it.

Change: under overload control the share is set with each use of the books. Without overload control the books keep their share, as before.

--- a/crates/engine/src/repeats.rs
+++ b/crates/engine/src/repeats.rs
@@ -278,14 +278,19 @@
             slack: part.slack / 2,
             ..part
         };
+        let calling = BudgetSettings {
+            percent: all.percent * CALLING_PERCENT / 100,
+            ..all.clone()
+        };
+        let controls_overload = self.controls_overload();
         let upstream = self.upstreams.get_mut(&slot)?;
-        let books = upstream.repeats.get_or_insert_with(|| {
-            let calling = BudgetSettings {
-                percent: all.percent * CALLING_PERCENT / 100,
-                ..all.clone()
-            };
-            RepeatBooks::new(&all, &calling)
-        });
+        let books = upstream
+            .repeats
+            .get_or_insert_with(|| RepeatBooks::new(&all, &calling));
+        // The contract may have changed since the books were created.
+        if controls_overload {
+            books.set_percents(all.percent, calling.percent);
+        }
         if lends {
             books.set_parts(lending_part(part), lending_part(calling_part));
         } else {
@@ -312,9 +317,7 @@
     /// A loan may be used until its end, a second after the previous incarnation granted it, and
     /// counts for one window from then on.
     fn may_have_lent(&self, now: Duration) -> bool {
-        self.lends_repeats()
-            && !self.settings.first_start
-            && now < REPEAT_WINDOW + LOAN_DURATION
+        self.lends_repeats() && !self.settings.first_start && now < REPEAT_WINDOW + LOAN_DURATION
     }
 
     /// Updates and returns the number of servers among which the bound of a service is divided.
--- a/crates/engine/tests/session/repeat_bound.rs
+++ b/crates/engine/tests/session/repeat_bound.rs
@@ -81,6 +81,16 @@
         }
     }
 
+    /// Returns the number of requests so far.
+    pub fn calls(&self) -> usize {
+        usize::try_from(self.calls).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the number of repeats so far.
+    pub fn repeats(&self) -> usize {
+        self.repeat_times.len()
+    }
+
     /// Returns the largest number of repeats within any [`WINDOW`].
     pub fn max_repeats_in_window(&self) -> usize {
         let count_from = |start: Duration| {
--- a/crates/engine/tests/session/repeat_loans.rs
+++ b/crates/engine/tests/session/repeat_loans.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sycamorelink_contract::{FleetContract, RetryBudget};
 use sycamorelink_core::{
     AttemptId, CustomerName, InstanceId, NodeIncarnation, RequestId, ServiceName,
 };
@@ -80,6 +81,46 @@
     );
 }
 
+// Guards against a bound that still grows by the share of an earlier contract: a new one allows no
+// repeats, and the requests before it count for one window.
+#[test]
+fn share_of_a_new_contract_takes_effect() {
+    let contract = |version, share| FleetContract {
+        version,
+        retry_budget: RetryBudget {
+            share,
+            min_per_second: 0.0,
+        },
+        ..contract_with_repeats(0)
+    };
+    let generous = contract(1, 0.5);
+    // Without a queue, declined requests are repeated at once.
+    let off = &[PolicyMechanism::CallerQueue];
+    let mut world = SessionWorld::start_fleet_with_loans(NODES, generous, Some(OBJECTIVE), off);
+    for name in (0..NODES).map(name_of) {
+        let script = BackendScript {
+            declined_percent: 50,
+            ..BackendScript::default()
+        };
+        world.scripts.insert(node(&name), script);
+    }
+    let mut load = CallLoad::default();
+    load.run(&mut world, WINDOW);
+    assert!(load.max_repeats_in_window() > 0);
+    let strict = Arc::new(contract(2, 0.1));
+    for name in (0..NODES).map(name_of) {
+        world.send_event(&name, NodeEvent::FleetContract(Arc::clone(&strict)));
+    }
+    load.run(&mut world, WINDOW + Duration::from_secs(2));
+    let (before, calls) = (load.repeats(), load.calls());
+    load.run(&mut world, WINDOW);
+    let (repeats, calls) = (load.repeats() - before, load.calls() - calls);
+    assert!(
+        repeats * 10 <= calls,
+        "{repeats} repeats of {calls} requests"
+    );
+}
+
 // Guards against messages to nodes of a fleet that does not control overload: without the setting,
 // with an objective that no route has, or with loans switched off.
 #[test]
--- a/crates/limits/src/overload/loans.rs
+++ b/crates/limits/src/overload/loans.rs
@@ -322,6 +322,12 @@
         self.calling.budget.set_part(calling);
     }
 
+    /// Sets the repeats that each hundred requests allow from now on in the two budgets.
+    pub fn set_percents(&mut self, all: u32, calling: u32) {
+        self.all.budget.set_percent(all);
+        self.calling.budget.set_percent(calling);
+    }
+
     /// Records the first arrival of a request.
     pub fn deposit(&mut self, now: Duration, calls: bool) {
         self.all.budget.deposit(now);
--- a/crates/limits/src/retry_budget.rs
+++ b/crates/limits/src/retry_budget.rs
@@ -142,6 +142,11 @@
         self.node_part = part;
     }
 
+    /// Sets the repeats allowed for each hundred first tries from now on.
+    pub fn set_percent(&mut self, percent: u32) {
+        self.percent = u64::from(percent);
+    }
+
     /// Records one first try.
     pub fn deposit(&mut self, now: Duration) {
         let index = self.advance(now);
