Compare the caller queue with no queue over several long faults

Cause: the test of a long fault allowed the queue to serve 2% fewer requests in time than no queue, in a single session. The requirement is that it does not serve fewer.

Change: the test adds up faults of 25, 30 and 35 s and allows no loss over the sum. Each fault keeps its previous bound.

--- a/crates/engine/tests/session/caller_queue.rs
+++ b/crates/engine/tests/session/caller_queue.rs
@@ -227,16 +227,26 @@
 // long fault with a large bound it would serve fewer callers than no queue.
 #[test]
 fn queue_does_not_waste_repeats_in_a_long_fault() {
-    let fault = Duration::from_secs(30);
-    let plain = play_half_declined(MAX_REPEATS * 4, fault, without_queue);
-    let queued = play_half_declined(MAX_REPEATS * 4, fault, with_queue);
-    let (in_time, before) = (queued.served_in_time(), plain.served_in_time());
-    // Holding every request until the service accepts work again serves a tenth fewer in time.
+    let (mut in_time, mut before) = (0, 0);
+    for seconds in [25, 30, 35] {
+        let fault = Duration::from_secs(seconds);
+        let plain = play_half_declined(MAX_REPEATS * 4, fault, without_queue);
+        let queued = play_half_declined(MAX_REPEATS * 4, fault, with_queue);
+        let (in_time_now, before_now) = (queued.served_in_time(), plain.served_in_time());
+        // Both draw other random numbers. Holding every request until the service accepts work again
+        // serves a tenth fewer in time.
+        assert!(
+            in_time_now * 100 >= before_now * 98,
+            "{in_time_now} served in time with the queue, {before_now} without, in {seconds} s"
+        );
+        assert!(queued.refused() < plain.refused(), "{seconds} s");
+        in_time += in_time_now;
+        before += before_now;
+    }
     assert!(
-        in_time * 100 >= before * 98,
+        in_time >= before,
         "{in_time} served in time with the queue, {before} without"
     );
-    assert!(queued.refused() < plain.refused());
 }
 
 // Guards against requests that are held until their deadline, or beyond the time in which a run
