--- a/crates/engine/tests/session/repeat_loans.rs
+++ b/crates/engine/tests/session/repeat_loans.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sycamorelink_contract::{FleetContract, RetryBudget};
 use sycamorelink_core::{
     AttemptId, CustomerName, InstanceId, NodeIncarnation, RequestId, ServiceName,
 };
@@ -80,6 +81,46 @@
     );
 }
 
+// Guards against a bound that still grows by the share of an earlier contract: a new one allows no
+// repeats, and the requests before it count for one window.
+#[test]
+fn share_of_a_new_contract_takes_effect() {
+    let contract = |version, share| FleetContract {
+        version,
+        retry_budget: RetryBudget {
+            share,
+            min_per_second: 0.0,
+        },
+        ..contract_with_repeats(0)
+    };
+    let generous = contract(1, 0.5);
+    // Without a queue, declined requests are repeated at once.
+    let off = &[PolicyMechanism::CallerQueue];
+    let mut world = SessionWorld::start_fleet_with_loans(NODES, generous, Some(OBJECTIVE), off);
+    for name in (0..NODES).map(name_of) {
+        let script = BackendScript {
+            declined_percent: 50,
+            ..BackendScript::default()
+        };
+        world.scripts.insert(node(&name), script);
+    }
+    let mut load = CallLoad::default();
+    load.run(&mut world, WINDOW);
+    assert!(load.max_repeats_in_window() > 0);
+    let strict = Arc::new(contract(2, 0.1));
+    for name in (0..NODES).map(name_of) {
+        world.send_event(&name, NodeEvent::FleetContract(Arc::clone(&strict)));
+    }
+    load.run(&mut world, WINDOW + Duration::from_secs(2));
+    let (before, calls) = (load.repeats(), load.calls());
+    load.run(&mut world, WINDOW);
+    let (repeats, calls) = (load.repeats() - before, load.calls() - calls);
+    assert!(
+        repeats * 10 <= calls,
+        "{repeats} repeats of {calls} requests"
+    );
+}
+
 // Guards against messages to nodes of a fleet that does not control overload: without the setting,
 // with an objective that no route has, or with loans switched off.
 #[test]
@@ -224,6 +265,22 @@
     assert_eq!(ask_node_a(&mut world, 1 << 42), Some(3));
 }
 
+// Guards against a restarted daemon that keeps back its slack for loans although overload control does
+// not apply, since no route has an objective that long: its slack returns after one window.
+#[test]
+fn restarted_daemon_without_overload_control_has_slack_after_one_window() {
+    for objective_from in [None, Some(OBJECTIVE + Duration::from_secs(1))] {
+        let mut world = fleet_with(objective_from, &[]);
+        world.kill("a");
+        world.add_node(0, 2);
+        world.run_for(WINDOW + Duration::from_millis(100));
+        let before = world.arrivals.get(&node("a")).map_or(0, Vec::len);
+        offer_to_node_a(&mut world, 0, ArrivalKind::Repeat);
+        let after = world.arrivals.get(&node("a")).map_or(0, Vec::len);
+        assert_eq!(after, before + 1, "from {objective_from:?}");
+    }
+}
+
 // Guards against a duplicated ask that is granted twice, and against a lender that is leaving.
 #[test]
 fn lender_answers_once_and_lends_nothing_while_it_leaves() {
