Give refused callers retry delays from the free capacity of the service

Each gate spaced only the delays of its own refusals, so callers refused by 76 daemons returned together. Refusals for lack of capacity now get a delay at the daemon's part of the rate of the service, by the order of refusal. A caller whose objective is over by then gets the new code no-capacity without a delay.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -109,6 +109,8 @@
     DeadlineExceeded = ("deadline-exceeded", 504),
     /// The caller closed its connection.
     CallerGone = ("caller-gone", 499),
+    /// No capacity is expected within the time that the caller has left.
+    NoCapacity = ("no-capacity", 503),
 }
 
 impl fmt::Display for RefusalCode {
--- a/crates/daemon/src/callers/response.rs
+++ b/crates/daemon/src/callers/response.rs
@@ -196,5 +196,6 @@
         }
         RefusalCode::DeadlineExceeded => "The deadline passed",
         RefusalCode::CallerGone => "The caller went away",
+        RefusalCode::NoCapacity => "No capacity is expected in the time left",
     }
 }
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -216,6 +216,12 @@
             | NodeNote::WorkDecided { .. }
             | NodeNote::WorkBecameLate { .. }
             | NodeNote::WorkDone { .. } => self.record_attempt(note),
+            NodeNote::ReturnAdvised {
+                request,
+                service,
+                advice,
+                outlook,
+            } => self.record_advice((request, service), *advice, outlook),
             NodeNote::WaitStarted { .. }
             | NodeNote::WaitReleased { .. }
             | NodeNote::WaitEnded { .. }
--- a/crates/daemon/src/notes/requests.rs
+++ b/crates/daemon/src/notes/requests.rs
@@ -90,7 +90,7 @@
             RefusalCode::LimitExceeded => {
                 self.increment(SeriesKey::of(MetricName::LimitRefused).customer(customer));
             }
-            RefusalCode::Overloaded => {
+            RefusalCode::Overloaded | RefusalCode::NoCapacity => {
                 self.increment(SeriesKey::of(MetricName::Shed).service(service));
                 self.last_shed.insert(service.clone(), now);
             }
@@ -150,7 +150,7 @@
         (_, RunState::Unknown) => EventCode::RequestUnknown,
         (RefusalCode::UnknownCustomer, _) => EventCode::CallerDenied,
         (RefusalCode::LimitExceeded, _) => EventCode::LimitExceeded,
-        (RefusalCode::Overloaded, _) => EventCode::OverloadShedding,
+        (RefusalCode::Overloaded | RefusalCode::NoCapacity, _) => EventCode::OverloadShedding,
         (RefusalCode::NoUpstream, _) => EventCode::NoUpstream,
         (RefusalCode::DeadlineExceeded, _) => EventCode::DeadlineExceeded,
         (RefusalCode::NotReady, _) => EventCode::ContractMissing,
--- a/crates/daemon/src/notes/waits.rs
+++ b/crates/daemon/src/notes/waits.rs
@@ -1,12 +1,41 @@
 //! Records the requests that wait in the caller queue, and services that decline work.
 
+use std::sync::Arc;
+
+use sycamorelink_core::ServiceName;
 use sycamorelink_engine::{NodeEngine, NodeNote};
+use sycamorelink_limits::{ReturnAdvice, ServiceOutlook};
 use sycamorelink_telemetry::{EventCode, EventFields, MetricName};
 
 use super::NoteRecorder;
 use crate::metrics_table::SeriesKey;
 
 impl NoteRecorder {
+    pub(super) fn record_advice(
+        &mut self,
+        (request, service): (&Arc<str>, &ServiceName),
+        advice: ReturnAdvice,
+        outlook: &ServiceOutlook,
+    ) {
+        let (name, delay) = match advice {
+            ReturnAdvice::After(delay) => ("after", delay),
+            ReturnAdvice::Late(delay) => ("late", delay),
+            ReturnAdvice::Never => ("never", outlook.backlog),
+        };
+        let advised = SeriesKey::of(MetricName::ReturnsAdvised).service(service);
+        self.increment(advised.detail(name));
+        let reason = format!(
+            "{name}, backlog {}ms, {:.0} runs a second, {} daemons",
+            outlook.backlog.as_millis(),
+            outlook.rate,
+            outlook.refusing_nodes
+        );
+        let delay = format!("{}ms", delay.as_millis());
+        let fields = EventFields::new().request(request).service(service);
+        let fields = fields.duration(&delay).reason(&reason);
+        self.emit(EventCode::RetryAdvised, &fields);
+    }
+
     pub(super) fn record_wait(&mut self, note: &NodeNote) {
         match note {
             NodeNote::WaitStarted {
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -394,6 +394,7 @@
         if !self.requests.contains_key(&id) {
             return;
         }
+        let refusal = self.pace_return(now, id, refusal, out);
         out.push(NodeCommand::Refuse {
             request: id,
             refusal: refusal.clone(),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -59,6 +59,7 @@
 mod repeat_loans;
 mod repeats;
 mod request;
+mod returns;
 mod server_notices;
 mod settings;
 mod status;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -10,7 +10,8 @@
 use sycamorelink_guard::{GuardIdentity, GuardNode};
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
-    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ShareMember, ShareNode, WorkId,
+    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ReturnPacer, ShareMember, ShareNode,
+    WorkId,
 };
 use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
@@ -96,6 +97,8 @@
     pub(crate) leaving_records: LeavingRecords,
     pub(crate) limit_records: LimitRecords,
     pub(crate) capacity: CapacityExchange,
+    /// Sources of retry delays, by service. Only services of the contract have one.
+    pub(crate) return_pacers: BTreeMap<ServiceName, ReturnPacer>,
     pub(crate) loans: LoanState,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
@@ -215,6 +218,7 @@
             leaving_records,
             limit_records: LimitRecords::default(),
             capacity,
+            return_pacers: BTreeMap::new(),
             loans,
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -9,7 +9,7 @@
     UpstreamId,
 };
 use sycamorelink_guard::GuardNote;
-use sycamorelink_limits::{QueuePlace, WaitReason};
+use sycamorelink_limits::{QueuePlace, ReturnAdvice, ServiceOutlook, WaitReason};
 use sycamorelink_policy::{
     CapacityError, DeclineCounts, ExpectedTime, LoadHint, PoolFinding, SampleKind, UpstreamView,
 };
@@ -504,6 +504,17 @@
         /// Service of the upstream.
         service: ServiceName,
     },
+    /// A refused caller was advised when to retry.
+    ReturnAdvised {
+        /// Request id given by the caller, or the one that the fleet generated.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// The advice.
+        advice: ReturnAdvice,
+        /// Capacity of the service that the advice is based on.
+        outlook: ServiceOutlook,
+    },
     /// A peer sent an implausible capacity record, which was dropped. At most one per second and
     /// sender.
     CapacityReportInvalid {
--- a/crates/engine/tests/session/capacity.rs
+++ b/crates/engine/tests/session/capacity.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use sycamorelink_contract::FleetContract;
-use sycamorelink_core::{NodeIncarnation, RequestId, ServiceName, UpstreamId};
+use sycamorelink_core::{
+    NodeIncarnation, RefusalCode, RequestId, RunState, ServiceName, UpstreamId,
+};
 use sycamorelink_engine::{CapacityStatus, EngineSettings, NodeEvent, PeerMessage};
 use sycamorelink_policy::{CapacityRecord, PolicyMechanism};
 
@@ -41,6 +43,8 @@
     let mut settings = EngineSettings::default();
     settings.overload.objective_from = objective_from;
     settings.gate.first_service_time = ASSUMED_RUN;
+    // Retry delays have tests of their own.
+    settings.policy.off.insert(PolicyMechanism::PacedReturns);
     settings
 }
 
@@ -303,3 +307,41 @@
     assert!(world.capacity_bytes.is_empty());
     assert!(status_of(&world, "a").is_empty());
 }
+
+/// Returns the times at which refused callers are told to return, by the order of refusal. Asserts
+/// that a refusal without a delay says that no capacity is expected.
+fn return_times(world: &SessionWorld) -> Vec<Option<Duration>> {
+    let answers = world.answers.values();
+    let refusals = answers.filter_map(|(at, summary)| Some((*at, summary.refusal.as_ref()?)));
+    let times = refusals.map(|(at, refusal)| {
+        assert_eq!(refusal.run, RunState::NotRun);
+        let is_unpromised = refusal.code == RefusalCode::NoCapacity;
+        assert_eq!(is_unpromised, refusal.retry_after.is_none(), "{refusal:?}");
+        refusal.retry_after.map(|delay| at + delay)
+    });
+    times.collect()
+}
+
+// Guards against refused callers that return together, and against a promise of capacity that comes
+// after the caller's objective.
+#[test]
+fn refused_callers_are_told_when_capacity_is_expected() {
+    let mut settings = controlled();
+    settings.policy.off.clear();
+    let mut world = fleet_with(settings, Duration::from_secs(1));
+    flood(&mut world);
+    let start = world.now();
+    let returns = return_times(&world);
+    let promised: Vec<Duration> = returns.iter().copied().flatten().collect();
+    assert!(promised.len() > 1, "{returns:?}");
+    assert!(promised.len() < returns.len(), "{returns:?}");
+    assert!(
+        promised.is_sorted_by(|one, next| one < next),
+        "{promised:?}"
+    );
+    let objective = Duration::from_secs(4);
+    assert!(
+        promised.iter().all(|at| *at < start + objective),
+        "{promised:?}"
+    );
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -30,10 +30,10 @@
 };
 pub use holder_count::HolderCount;
 pub use overload::{
-    CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
+    CallerNeed, CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
     LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, OverloadSettings, QueueCount,
-    QueueEntry, QueueEvent, QueuePlace, ReleasePace, RepeatBooks, RepeatOrigin, RunEnd, WaitEntry,
-    WaitReason, WaitTerms,
+    QueueEntry, QueueEvent, QueuePlace, ReleasePace, RepeatBooks, RepeatOrigin, ReturnAdvice,
+    ReturnPacer, RunEnd, ServiceOutlook, WaitEntry, WaitReason, WaitTerms,
 };
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
--- a/crates/policy/src/capacity/estimate.rs
+++ b/crates/policy/src/capacity/estimate.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// Capacity of a service over the fleet, from its valid records.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServiceCapacity {
+    /// Mean expected wait of a new request that can meet its objective.
+    pub wait: Duration,
+    /// Mean run time.
+    pub run: Duration,
+    /// Runs that the service completes per second with all slots in use.
+    pub rate: f64,
+}
+
 /// Estimated load of one upstream, or mean load of a service. Times are in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LoadEstimate {
--- a/crates/policy/src/capacity/mod.rs
+++ b/crates/policy/src/capacity/mod.rs
@@ -14,7 +14,7 @@
 mod report;
 mod table;
 
-pub use estimate::{CapacityForecast, ExpectedTime};
+pub use estimate::{CapacityForecast, ExpectedTime, ServiceCapacity};
 pub use record::{CapacityError, CapacityRecord};
 pub use report::select_freshest;
 pub use table::CapacityTable;
--- a/crates/policy/src/capacity/table.rs
+++ b/crates/policy/src/capacity/table.rs
@@ -5,7 +5,7 @@
 
 use sycamorelink_core::{NodeId, UpstreamId};
 
-use super::estimate::LoadEstimate;
+use super::estimate::{LoadEstimate, ServiceCapacity};
 use super::record::{CapacityError, CapacityRecord};
 use crate::sample::LoadHint;
 
@@ -165,6 +165,20 @@
         stored.filter_map(move |stored| aged(stored, now))
     }
 
+    /// Returns the capacity of the service over the fleet; `None` while no record of another node is
+    /// valid.
+    #[must_use]
+    pub fn service_capacity(&self, now: Duration) -> Option<ServiceCapacity> {
+        let mean = self.mean_load(now).filter(|_| self.has_reports(now))?;
+        let (count, _) = self.status(now);
+        let count = f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+        Some(ServiceCapacity {
+            wait: Duration::from_secs_f64(mean.wait),
+            run: Duration::from_secs_f64(mean.run),
+            rate: count * mean.limit / mean.run,
+        })
+    }
+
     /// Returns the mean load of the service, in which fresh records have more weight. `None`
     /// without a valid record.
     pub(crate) fn mean_load(&self, now: Duration) -> Option<LoadEstimate> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -59,7 +59,8 @@
 pub use breaker::{BreakerVerdict, UpstreamBreaker};
 pub use call_rates::{CallRates, OpenWork};
 pub use capacity::{
-    CapacityError, CapacityForecast, CapacityRecord, CapacityTable, ExpectedTime, select_freshest,
+    CapacityError, CapacityForecast, CapacityRecord, CapacityTable, ExpectedTime, ServiceCapacity,
+    select_freshest,
 };
 pub use declines::{DeclineCounts, DeclineMonitor};
 pub use evidence::{EvidenceRole, EvidenceScores, UpstreamEvidence};
--- a/crates/telemetry/src/burn/classify.rs
+++ b/crates/telemetry/src/burn/classify.rs
@@ -49,6 +49,7 @@
         | RefusalCode::NoUpstream
         | RefusalCode::UpstreamSuspect
         | RefusalCode::RepeatsSpent
+        | RefusalCode::NoCapacity
         | RefusalCode::Draining
         | RefusalCode::NotReady
         | RefusalCode::GuardsUnreachable => Some(BurnOutcome::Refused),
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -140,6 +140,8 @@
     2023 RequestReleased Debug "request-released" "a waiting request is sent to a backend server again";
     2024 RequestExpired Debug "request-expired" "a request ended while it waited";
 
+    2025 RetryAdvised Debug "retry-advised" "a caller refused for lack of capacity was told when to retry";
+
     3001 UpstreamSuspected Info "upstream-suspected" "an upstream is doing worse than its peers or its own past";
     3002 WeightShifted Info "weight-shifted" "an upstream gets less work";
     3003 UpstreamEjected Warn "upstream-ejected" "an upstream gets no work but trial requests";
--- a/crates/telemetry/src/event/entries/request.rs
+++ b/crates/telemetry/src/event/entries/request.rs
@@ -192,4 +192,14 @@
         action: "Many with `expired` mean that the service was short of capacity or of repeats for \
                 longer than its callers wait: look for `SL8021` and at the metric `retries`.",
     },
+    EventEntry {
+        code: EventCode::RetryAdvised,
+        reserved: false,
+        meaning: "The request was refused for lack of capacity. `reason` has the expected backlog \
+                and the rate of the service over the fleet, and whether a retry can be in time: \
+                then `duration` is the delay that the caller was given. Otherwise the caller got \
+                `no-capacity` without a delay.",
+        action: "Nothing for one. Many without a delay mean that the service stays overloaded for \
+                longer than its callers wait.",
+    },
 ];
--- a/crates/telemetry/src/event/refusals.rs
+++ b/crates/telemetry/src/event/refusals.rs
@@ -243,4 +243,14 @@
         operator: "A rise means that callers give up waiting.",
         events: &[EventCode::CallerGone],
     },
+    RefusalEntry {
+        code: RefusalCode::NoCapacity,
+        meaning: "No backend server of the service has capacity for the request, and a retry within \
+                the caller's time is not expected to find any before the latency objective.",
+        run_states: &[RunState::NotRun],
+        caller: "Do not send again within the same deadline.",
+        operator: "The service is overloaded for longer than its callers wait: look at \
+                `sycamorelink service` for what waits and for the limits of its servers.",
+        events: &[EventCode::OverloadShedding, EventCode::RetryAdvised],
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -206,6 +206,8 @@
         "Repeats that backend servers of this instance borrowed from others.";
     RepeatsUnused Counter "repeats_unused" "repeats" ["service"]
         "Borrowed repeats that were not used before their loan ended.";
+    ReturnsAdvised Counter "returns_advised" "requests" ["service" "advice"]
+        "Callers refused for lack of capacity, by what they were told: after (a delay), late or never (no capacity is promised).";
     CallersWaiting Gauge "callers_waiting" "requests" ["reason"]
         "Requests that wait at the daemon that took them, by reason: declining (their service declines work), no-repeats or no-capacity. Only with overload control.";
     CallersReleased Counter "callers_released" "requests" ["service" "reason"]
