Let the share of requests that leaves a failure domain follow the waits

Selection compared single servers with a fixed cost of crossing, so that all requests left a domain once the difference passed it, and came back together. Under overload control a share now decides between the preferred domain and the others, and costs decide within. Faults still lead away: if every near server is worse apart from its wait, all are compared. Policy tests: no crossing at even waits, about 60% at a difference of 760 ms and an objective of 4 s, none after it.

--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -61,7 +61,9 @@
         let kind = state.rule.work_kind();
         let soonest_terms = soonest_terms(now, state);
         let table = self.capacity.tables.get(&service).filter(|_| by_time);
+        let spills = self.uses_overload_mechanism(PolicyMechanism::DomainSpillover);
         let pool = self.pools.get_mut(&service)?;
+        pool.spill_over(spills);
         let tried = state.plan.exclude();
         let tried = tried.as_slice();
         let excluded: Vec<UpstreamId> = tried
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -14,6 +14,7 @@
 use crate::record::{EvidenceView, ServiceState, UpstreamRecord, highest};
 use crate::score::ScoreKind;
 use crate::settings::PoolSettings;
+use crate::spillover::SpilloverShare;
 use crate::trials::INITIAL_AVOIDED_SHARE;
 
 /// Share of the known slots that the floor protects until a contract sets one.
@@ -47,6 +48,8 @@
     pub(crate) failing_share: FailingShare,
     /// Running share of drawn upstreams that selection by cost avoids.
     pub(crate) avoided_share: f64,
+    /// Share of the requests that goes to other failure domains; `None` if only costs decide.
+    pub(crate) spillover: Option<SpilloverShare>,
     /// Mean size of a reply in bytes, by kind of work.
     pub(crate) reply_sizes: BTreeMap<u64, f64>,
     pub(crate) ledger: FloorLedger,
@@ -92,6 +95,7 @@
             baseline: PoolBaseline::new(),
             failing_share: FailingShare::new(),
             avoided_share: INITIAL_AVOIDED_SHARE,
+            spillover: None,
             reply_sizes: BTreeMap::new(),
             ledger: FloorLedger::default(),
             common_score: 0.0,
@@ -168,6 +172,21 @@
         self.preferred_domain = Some(domain);
     }
 
+    /// Lets the share of requests that goes to other failure domains follow the expected waits, or
+    /// leaves it to the costs of single upstreams.
+    pub fn spill_over(&mut self, enabled: bool) {
+        if self.spillover.is_some() != enabled {
+            self.spillover = enabled.then(SpilloverShare::default);
+        }
+    }
+
+    /// Returns the share of requests that goes to other failure domains, from 0 to 1; `None` if it
+    /// does not follow the expected waits.
+    #[must_use]
+    pub fn spillover_share(&self) -> Option<f64> {
+        self.spillover.as_ref().map(SpilloverShare::share)
+    }
+
     /// Replaces the settings. The caller must have validated them.
     pub fn apply(&mut self, settings: PoolSettings) {
         self.settings = settings;
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -188,6 +188,14 @@
         (DISTANCE_COST + bytes / BYTES_PER_KIB * DISTANCE_COST_PER_KIB).min(MAX_DISTANCE_COST)
     }
 
+    /// Returns the learned size of the replies to a kind of work relative to the largest kind, from 0
+    /// to 1.
+    pub(crate) fn relative_reply_size(&self, kind: u64) -> f64 {
+        let bytes = self.reply_sizes.get(&kind).copied().unwrap_or(0.0);
+        let largest = self.reply_sizes.values().copied().fold(1.0, f64::max);
+        bytes / largest
+    }
+
     /// Updates the learned size of the replies to a kind of work.
     pub fn learn_reply_size(&mut self, kind: u64, bytes: u64) {
         let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
--- a/crates/policy/src/soonest.rs
+++ b/crates/policy/src/soonest.rs
@@ -19,9 +19,10 @@
 use crate::capacity::{CapacityForecast, CapacityTable, ExpectedTime, LoadEstimate};
 use crate::pool::ServicePool;
 use crate::selection::COST_JITTER;
+use crate::spillover::DomainWaits;
 
-/// Shortest objective, in seconds, by which expected times are divided.
-const MIN_OBJECTIVE_SECONDS: f64 = 0.25;
+/// Shortest objective by which expected times are divided.
+const MIN_OBJECTIVE: Duration = Duration::from_millis(250);
 /// Cost of an upstream that reports no repeats left, for a repeat. It refuses the repeat, which
 /// costs a round trip and one of the few offers of the request.
 const NO_REPEATS_COST: f64 = 0.2;
@@ -45,10 +46,41 @@
     load: LoadEstimate,
     /// Cost apart from the expected time: faults, distance and spent repeats.
     standing_cost: f64,
+    /// Whether the upstream is in another failure domain than the preferred one.
+    is_far: bool,
     /// Whole cost, with its random part.
     cost: f64,
 }
 
+/// Mean wait and least other cost of the candidates in one or more failure domains.
+#[derive(Clone, Copy, Debug)]
+struct DomainOutlook {
+    /// Mean expected wait in seconds.
+    wait: f64,
+    /// Least cost apart from the expected time.
+    standing_cost: f64,
+}
+
+impl DomainOutlook {
+    /// Returns the outlook of the candidates with no more than the usual faults; `None` without
+    /// candidates.
+    fn of<'a, I>(candidates: I) -> Option<Self>
+    where
+        I: Iterator<Item = &'a SoonestCandidate> + Clone,
+    {
+        let costs = candidates.clone().map(|other| other.standing_cost);
+        let standing_cost = costs.min_by(f64::total_cmp)?;
+        let sound = candidates.filter(|other| other.standing_cost <= standing_cost + COST_JITTER);
+        let (sum, count) = sound.fold((0.0, 0.0), |(sum, count), other| {
+            (sum + other.load.wait, count + 1.0)
+        });
+        Some(Self {
+            wait: sum / count,
+            standing_cost,
+        })
+    }
+}
+
 impl ServicePool {
     /// Picks an upstream by the expected time to an answer, the faults and the distance of up to 64
     /// upstreams that may be picked. Falls back to [`Self::pick_cheapest`] while no report of
@@ -65,15 +97,13 @@
             return self.pick_cheapest(now, exclude, terms.kind);
         };
         let far_cost = self.distance_cost(terms.kind);
-        let objective = terms
-            .objective_left
-            .as_secs_f64()
-            .max(MIN_OBJECTIVE_SECONDS);
+        let objective = terms.objective_left.max(MIN_OBJECTIVE).as_secs_f64();
         let mut candidates = Vec::new();
         for index in self.pickable_sample(exclude) {
             let load = self.load_at(now, table, &mean, index);
             let record = &self.records[index];
-            let distance = if self.is_far(record) { far_cost } else { 0.0 };
+            let is_far = self.is_far(record);
+            let distance = if is_far { far_cost } else { 0.0 };
             let repeats = if terms.is_repeat && load.repeats_spent {
                 NO_REPEATS_COST
             } else {
@@ -87,9 +117,11 @@
                 index,
                 load,
                 standing_cost,
+                is_far,
                 cost: standing_cost + load.reply_time() / objective + jitter,
             });
         }
+        self.choose_domain(now, &mut candidates, far_cost, terms);
         let best = candidates
             .iter()
             .min_by(|left, right| left.cost.total_cmp(&right.cost))
@@ -99,6 +131,44 @@
         Some(self.records[index].id)
     }
 
+    /// Keeps the candidates of the preferred failure domain or those of the others, in proportion to
+    /// the share that the waits of both suggest.
+    ///
+    /// All candidates are kept if every one in the preferred domain is worse, apart from its wait,
+    /// than one in another domain: a share by waits says nothing about faults.
+    fn choose_domain(
+        &mut self,
+        now: Duration,
+        candidates: &mut Vec<SoonestCandidate>,
+        far_cost: f64,
+        terms: &SoonestTerms,
+    ) {
+        let size_share = self.relative_reply_size(terms.kind);
+        let Some(spillover) = &mut self.spillover else {
+            return;
+        };
+        let [near, far] = [false, true].map(|is_far| {
+            let domain = candidates.iter().filter(|other| other.is_far == is_far);
+            DomainOutlook::of(domain)
+        });
+        let (Some(near), Some(far)) = (near, far) else {
+            return;
+        };
+        let waits = DomainWaits {
+            near: Duration::from_secs_f64(near.wait),
+            far: Duration::from_secs_f64(far.wait),
+        };
+        let objective = terms.objective_left.max(MIN_OBJECTIVE);
+        spillover.update(now, waits, objective.mul_f64(far_cost), objective);
+        let crosses = spillover.crosses(self.random.random(), size_share);
+        let is_sound = far.standing_cost <= near.standing_cost + far_cost + COST_JITTER;
+        if crosses && is_sound {
+            candidates.retain(|other| other.is_far);
+        } else if near.standing_cost <= far.standing_cost {
+            candidates.retain(|other| !other.is_far);
+        }
+    }
+
     /// Returns the earliest expected reply over up to 64 upstreams that may be picked. `None`
     /// without an upstream, and while no report of another node is valid.
     pub fn forecast(
--- a/crates/policy/tests/spillover.rs
+++ b/crates/policy/tests/spillover.rs
@@ -3,7 +3,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use sycamorelink_policy::{DomainWaits, SpilloverShare};
+use sycamorelink_core::{DomainName, NodeId, NodeIncarnation, UpstreamId};
+use sycamorelink_policy::{
+    CapacityRecord, CapacityTable, DomainWaits, PoolSettings, ServicePool, SoonestTerms,
+    SpilloverShare, UpstreamFacts, UpstreamPhase,
+};
 
 /// Number of failure domains.
 const DOMAINS: usize = 4;
@@ -138,3 +142,88 @@
     assert!(share.crosses(0.3, 0.0));
     assert!(!share.crosses(0.0, 1.0));
 }
+
+/// Servers of each of the two failure domains.
+const SERVERS: u64 = 6;
+const KIND: u64 = 1;
+
+fn upstream(number: u64) -> UpstreamId {
+    UpstreamId {
+        node: NodeId(number),
+        slot: 0,
+    }
+}
+
+/// Reports the waits of all servers; those with the lower numbers are in the caller's domain.
+fn report(table: &mut CapacityTable, now: Duration, sequence: u32, near_wait_ms: u32) {
+    for number in 0..SERVERS * 2 {
+        let expected_wait_ms = if number < SERVERS { near_wait_ms } else { 0 };
+        let is_full = expected_wait_ms > 0;
+        let record = CapacityRecord {
+            id: upstream(number),
+            incarnation: NodeIncarnation(1),
+            sequence,
+            in_use: if is_full { 15 } else { 5 },
+            limit: 15,
+            queued: if is_full { 20 } else { 0 },
+            expected_wait_ms,
+            mean_run_ms: 900,
+            failing: 0,
+            repeats: 1,
+            age_ms: 0,
+        };
+        table.merge(now, record).expect("a valid record");
+    }
+}
+
+/// Selects for two seconds and returns the share of requests that went to the other domain in the
+/// second one.
+fn share_of_far(
+    pool: &mut ServicePool,
+    table: &mut CapacityTable,
+    start: Duration,
+    near_wait_ms: u32,
+) -> f64 {
+    let terms = SoonestTerms {
+        kind: KIND,
+        objective_left: OBJECTIVE,
+        is_repeat: false,
+    };
+    let mut far = 0;
+    for step in 0..400_u32 {
+        let now = start + Duration::from_millis(5) * step;
+        if step % 50 == 0 {
+            let sequence = u32::try_from(now.as_millis()).expect("a few seconds");
+            report(table, now, sequence, near_wait_ms);
+        }
+        let picked = pool
+            .pick_soonest(now, table, &[], &terms)
+            .expect("a server");
+        far += u32::from(step >= 200 && picked.node.0 >= SERVERS);
+    }
+    f64::from(far) / 200.0
+}
+
+// Guards against requests that leave their failure domain for nothing, and against callers that wait
+// behind a full domain while another one has free slots.
+#[test]
+fn selection_follows_the_waits_of_the_domains() {
+    let mut pool = ServicePool::new(PoolSettings::default(), 3);
+    for number in 0..SERVERS * 2 {
+        let facts = UpstreamFacts {
+            slots: 15,
+            domain: DomainName::new(if number < SERVERS { "near" } else { "far" }),
+            phase: UpstreamPhase::Ready,
+        };
+        pool.upsert(Duration::ZERO, upstream(number), &facts);
+    }
+    pool.prefer_domain(DomainName::new("near"));
+    pool.spill_over(true);
+    let mut table = CapacityTable::new(NodeId(100));
+    let even = share_of_far(&mut pool, &mut table, Duration::from_secs(10), 0);
+    assert!(even <= 0.0, "{even} of the requests crossed at even waits");
+    let uneven = share_of_far(&mut pool, &mut table, Duration::from_secs(12), 760);
+    assert!((0.45..0.75).contains(&uneven), "{uneven} crossed");
+    let after = share_of_far(&mut pool, &mut table, Duration::from_secs(14), 0);
+    assert!(after < 0.05, "{after} crossed after the load had gone");
+}
