Show the state of overload control by service

Cause: an operator could see neither what waits beside a full server or in the caller queue of a daemon, nor why and whom it refuses, nor what it knows of the servers' capacity.

Change: NodeEngine::overload_status gives this for one service, None where overload control does not apply. The reply of /v1/services/{service} gets a member "overload", and `sycamorelink service` prints it. Without overload control both stay as they are.

--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -9,6 +9,7 @@
 
 mod access;
 mod history;
+mod overload;
 mod path;
 mod publish;
 mod query;
--- a/crates/daemon/src/operators/query.rs
+++ b/crates/daemon/src/operators/query.rs
@@ -9,6 +9,7 @@
 use sycamorelink_telemetry::burn::BurnQuery;
 
 use super::history::contract_history;
+use super::overload::overload_value;
 use crate::notes::{AuditNote, NoteRecorder};
 use crate::work::BackendDirectory;
 
@@ -167,7 +168,7 @@
     };
     let status = engine.service(&service);
     let upstreams: Vec<Value> = status.upstreams.iter().map(upstream_value).collect();
-    json!({
+    let mut value = json!({
         "service": name,
         "floor": {
             "known_slots": floor.known_slots,
@@ -178,7 +179,12 @@
             "ejected_count": floor.ejected_count,
         },
         "upstreams": upstreams,
-    })
+    });
+    // Without overload control the reply has no such member, as before there was any.
+    if let Some(overload) = engine.overload_status(&service) {
+        value["overload"] = overload_value(&overload);
+    }
+    value
 }
 
 fn nearest_service(engine: &NodeEngine, name: &str) -> Value {
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -108,7 +108,10 @@
         let key =
             idempotency_key_of(&rule, caller.key.as_deref()).map_err(RequestRefusal::not_run)?;
         if let Some(account) = &account {
-            self.withdraw_quota(now, account)?;
+            let withdrawn = self.withdraw_quota(now, account);
+            withdrawn.inspect_err(|refusal| {
+                self.count_refusal(now, &rule.service, refusal.code, Some(account.name()));
+            })?;
         }
         let time = caller
             .time_left
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -10,7 +10,8 @@
 use sycamorelink_guard::{GuardIdentity, GuardNode};
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
-    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ShareMember, ShareNode, WorkId,
+    CrashRegistry, CustomerIndex, HolderCount, RefusalWindow, RetryBudget, ShareMember, ShareNode,
+    WorkId,
 };
 use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
@@ -114,6 +115,8 @@
     pub(crate) requests: BTreeMap<RequestId, RequestState>,
     /// Requests that wait until a backend server is likely to accept them.
     pub(crate) waits: WaitState,
+    /// Recent refusals to callers of this node, where overload control applies.
+    pub(crate) refusals: BTreeMap<ServiceName, RefusalWindow>,
     pub(crate) works: BTreeMap<WorkId, WorkState>,
     /// Work that waits for a turn to run, by the number of its request to the crash registry.
     pub(crate) awaiting_turn: BTreeMap<u64, WorkId>,
@@ -225,6 +228,7 @@
             avoided_upstreams: BTreeMap::new(),
             requests: BTreeMap::new(),
             waits,
+            refusals: BTreeMap::new(),
             works: BTreeMap::new(),
             awaiting_turn: BTreeMap::new(),
             held_failures: BTreeMap::new(),
@@ -277,6 +281,7 @@
     /// commands to `out`.
     pub fn handle(&mut self, now: Duration, event: NodeEvent, out: &mut Vec<NodeCommand>) {
         self.now = now;
+        let earlier = out.len();
         match event {
             NodeEvent::Tick => self.on_tick(now, out),
             NodeEvent::RequestArrived(caller) => self.on_request(now, caller, out),
@@ -335,6 +340,7 @@
             }
         }
         self.check_drained(now, out);
+        self.count_refusals(now, out.get(earlier..).unwrap_or_default());
     }
 
     /// Returns the time at which the next `Tick` is due, as time since the node started.
@@ -431,6 +437,7 @@
             self.tick_capacity(now, out);
             self.tick_repeat_loans(now, out);
             self.tick_caller_queue(now, out);
+            self.expire_refusals(now);
             self.recall_waiting(now, out);
         } else {
             self.maintain_contracts(now, out);
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -11,6 +11,7 @@
 mod joining;
 mod leaving;
 mod overload_queue;
+mod overload_status;
 mod regressions;
 mod repeat_bound;
 mod repeat_loans;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -32,8 +32,8 @@
 pub use overload::{
     CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
     LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, OverloadSettings, QueueCount,
-    QueueEntry, QueueEvent, QueuePlace, ReleasePace, RepeatBooks, RepeatOrigin, RunEnd, WaitEntry,
-    WaitReason, WaitTerms,
+    QueueEntry, QueueEvent, QueuePlace, RefusalSummary, RefusalWindow, ReleasePace, RepeatBooks,
+    RepeatOrigin, RunEnd, WaitEntry, WaitReason, WaitTerms,
 };
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
--- a/crates/limits/src/overload/caller_queue.rs
+++ b/crates/limits/src/overload/caller_queue.rs
@@ -270,6 +270,15 @@
         entries.filter(|entry| entry.terms.reason == reason).count()
     }
 
+    /// Returns the requests that wait for a service.
+    pub fn waiting_for<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a WaitEntry> {
+        let entries = self.entries.values();
+        entries.filter(|entry| entry.terms.service == *service)
+    }
+
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -22,6 +22,7 @@
 pub mod loans;
 mod queue;
 mod queue_report;
+mod refusals;
 mod release_pace;
 mod returns;
 mod run_cost;
@@ -38,6 +39,7 @@
 };
 pub use queue::{DeadlineQueue, QueueCount, WaitingWork};
 pub use queue_report::{QueueEvent, QueuePlace};
+pub use refusals::{RefusalSummary, RefusalWindow};
 pub use release_pace::ReleasePace;
 pub use returns::{CallerNeed, ReturnAdvice, ReturnPacer, ServiceOutlook};
 pub use run_cost::RunCosts;
--- a/crates/ops/src/fleet.rs
+++ b/crates/ops/src/fleet.rs
@@ -7,6 +7,7 @@
 use crate::context::{OutputFormat, ShellContext};
 use crate::contract::escape_segment;
 use crate::exit::ToolFailure;
+use crate::overload::print_overload;
 use crate::table::TextTable;
 use crate::view::{DrainView, FleetView, MemberView, ServiceUpstream, ServiceView, StatusView};
 
@@ -92,7 +93,12 @@
         return context.data_json(&service);
     }
     context.data_line(floor_line(&service))?;
-    context.data(service_table(&service))
+    context.data(service_table(&service))?;
+    let Some(overload) = &service.overload else {
+        return Ok(());
+    };
+    context.data_line("")?;
+    print_overload(context, &service, overload)
 }
 
 fn floor_line(service: &ServiceView) -> String {
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod exit;
 pub mod explain;
 pub mod fleet;
+mod overload;
 pub mod reload;
 pub mod serve;
 pub mod settings;
--- a/crates/ops/src/view/mod.rs
+++ b/crates/ops/src/view/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod fleet;
 mod node;
+mod overload;
 mod service;
 
 pub use change::{
@@ -10,6 +11,9 @@
 };
 pub use fleet::{FleetView, MemberUpstream, MemberView};
 pub use node::{ContractStatus, DrainView, LocalUpstream, LogStatus, StatusView};
+pub use overload::{
+    AccountCount, OverloadView, QueueView, ReasonCount, RefusalView, ServerView, WaitView,
+};
 pub use service::{
     FULL_WEIGHT, FloorView, SHIFTED_WEIGHT, ServiceUpstream, ServiceView, UNSUSPECTED_SCORE,
 };
--- a/crates/ops/src/view/service.rs
+++ b/crates/ops/src/view/service.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::overload::OverloadView;
+
 /// Weight below which an upstream counts as shifted: most of its work goes to others.
 pub const SHIFTED_WEIGHT: f64 = 0.5;
 /// Minimum weight of an upstream that counts as fully in service.
@@ -20,6 +22,9 @@
     pub floor: FloorView,
     /// Upstreams of the service.
     pub upstreams: Vec<ServiceUpstream>,
+    /// Status of overload control; `None` where it does not apply.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub overload: Option<OverloadView>,
 }
 
 /// Capacity of a service compared with its floor.
--- a/crates/ops/tests/read.rs
+++ b/crates/ops/tests/read.rs
@@ -80,6 +80,76 @@
     insta::assert_snapshot!(text);
 }
 
+const SERVICE_UNDER_LOAD: &str = r#"{"service": "orders",
+    "floor": {"known_slots": 10, "floor_slots": 6, "floor_count": 1, "serving_slots": 10,
+              "serving_count": 2, "ejected_count": 0},
+    "upstreams": [
+      {"upstream": "0a/0", "instance": "i-1", "domain": "d1", "phase": "ready", "slots": 5,
+       "weight": 1.0, "suspicion": 0.1, "in_flight": 5},
+      {"upstream": "0b/0", "instance": "i-2", "domain": "d2", "phase": "ready", "slots": 5,
+       "weight": 1.0, "suspicion": 0.0, "in_flight": 4}],
+    "overload": {
+      "queues": [{"upstream": "0a/0", "in_time": 12, "late": 3, "longest_wait_ms": 2450}],
+      "waiting": [{"reason": "declining", "count": 0, "longest_wait_ms": null},
+                  {"reason": "no-repeats", "count": 2, "longest_wait_ms": 310},
+                  {"reason": "no-capacity", "count": 20, "longest_wait_ms": 1000}],
+      "refusals": {"window_ms": 60000,
+        "reasons": [{"refusal": "limit-exceeded", "count": 7},
+                    {"refusal": "overloaded", "count": 120}],
+        "accounts": [{"account": "mill", "count": 90}, {"account": "granary", "count": 20}],
+        "other_accounts": 17},
+      "servers": [
+        {"upstream": "0a/0", "in_use": 5, "limit": 5, "queued": 15, "expected_wait_ms": 2100,
+         "mean_run_ms": 830, "repeats": 0, "age_ms": 40},
+        {"upstream": "0b/0", "in_use": 4, "limit": 4, "queued": 0, "expected_wait_ms": 0,
+         "mean_run_ms": 900, "repeats": 3, "age_ms": 1320}]}}"#;
+
+// Guards against an operator who sees that requests are refused but not why, nor what waits.
+#[test]
+fn service_under_overload_control_is_printed() {
+    let daemon = FakeDaemon::start(vec![reply(200, SERVICE_UNDER_LOAD)]);
+    let text = run(&[daemon.address()], |context| {
+        show_service(context, "orders", OutputFormat::Text)
+    });
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn service_under_overload_control_is_printed_as_json() {
+    let daemon = FakeDaemon::start(vec![reply(200, SERVICE_UNDER_LOAD)]);
+    let text = run(&[daemon.address()], |context| {
+        show_service(context, "orders", OutputFormat::Json)
+    });
+    insta::assert_snapshot!(text);
+}
+
+// Guards against empty tables and sums while nothing waits and nothing was refused, or while parts
+// of overload control are off.
+#[test]
+fn idle_overload_control_is_printed_in_two_lines() {
+    let idle = r#"{"service": "orders", "overload": {"queues": [], "waiting": null,
+        "refusals": {"window_ms": 60000, "reasons": [], "accounts": [], "other_accounts": 0},
+        "servers": []}}"#;
+    let daemon = FakeDaemon::start(vec![reply(200, idle)]);
+    let text = run(&[daemon.address()], |context| {
+        show_service(context, "orders", OutputFormat::Text)
+    });
+    insta::assert_snapshot!(text);
+}
+
+// Guards against a changed reply for fleets without overload control: scripts read its members.
+#[test]
+fn service_without_overload_control_has_the_same_json_as_before() {
+    let service = r#"{"service": "orders", "upstreams": [
+        {"upstream": "0a/0", "instance": "i-1", "domain": "d1", "phase": "ready", "slots": 5,
+         "weight": 1.0, "suspicion": 0.1, "in_flight": 5}]}"#;
+    let daemon = FakeDaemon::start(vec![reply(200, service)]);
+    let text = run(&[daemon.address()], |context| {
+        show_service(context, "orders", OutputFormat::Json)
+    });
+    insta::assert_snapshot!(text);
+}
+
 #[test]
 fn instance_status_is_printed() {
     let status = r#"{"instance": "i-1", "node": "0a", "incarnation": "1", "domain": "d1",
