--- a/crates/daemon/tests/telemetry/main.rs
+++ b/crates/daemon/tests/telemetry/main.rs
@@ -8,3 +8,4 @@
 mod events;
 mod memory_bound;
 mod metrics;
+mod overload;
--- a/crates/daemon/tests/telemetry/node.rs
+++ b/crates/daemon/tests/telemetry/node.rs
@@ -9,6 +9,7 @@
 
 use serde_json::Value;
 use sycamorelink_contract::ContentDigest;
+use sycamorelink_daemon::adapters::{ContractSource, DaemonAdapters};
 use sycamorelink_daemon::settings::{DaemonSettings, OperatorAccount, OperatorRole};
 use sycamorelink_daemon::{Daemon, DaemonHandle};
 use sycamorelink_telemetry::{LogFormat, LogSettings};
@@ -100,6 +101,15 @@
 
     /// Does the same with the section `limits` of the settings.
     pub fn start_with_limits(operator: &str, limits: Value) -> Self {
+        Self::start_with(operator, limits, None)
+    }
+
+    /// Does the same under the fleet contract of a source.
+    pub fn start_fleet(operator: &str, limits: Value, source: Box<dyn ContractSource>) -> Self {
+        Self::start_with(operator, limits, Some(source))
+    }
+
+    fn start_with(operator: &str, limits: Value, source: Option<Box<dyn ContractSource>>) -> Self {
         log_buffer();
         let receiver = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
         receiver.set_nonblocking(true).expect("the socket is set");
@@ -121,8 +131,10 @@
             })
             .build()
             .expect("the settings are right");
+        let mut adapters = DaemonAdapters::native(&settings);
+        adapters.contracts = source;
         Self {
-            handle: Daemon::start(settings).expect("the daemon starts"),
+            handle: Daemon::start_with(settings, adapters).expect("the daemon starts"),
             receiver,
             received: String::new(),
         }
--- a/tests/testsuite/cli/daemon.rs
+++ b/tests/testsuite/cli/daemon.rs
@@ -218,6 +218,17 @@
     insta::assert_snapshot!(site.run(&["service", "order"]));
 }
 
+// Guards against overload control that changes what scripts read of a fleet without it.
+#[test]
+fn service_without_overload_control_has_neither_queues_nor_refusals() {
+    let site = SiteFixture::start();
+    let texts = [
+        site.run_until(&["service", "orders"], "  1.00  "),
+        site.run(&["service", "orders", "--format", "json"]),
+    ];
+    insta::assert_snapshot!(texts.join("\n"));
+}
+
 #[test]
 fn wrong_token_is_denied() {
     let site = SiteFixture::start();
