--- a/crates/engine/src/caller_queue.rs
+++ b/crates/engine/src/caller_queue.rs
@@ -187,7 +187,8 @@
         reason: WaitReason,
         out: &mut Vec<NodeCommand>,
     ) -> bool {
-        let enabled = self.uses_caller_queue() && self.draining.is_none();
+        let leaves = self.latest_wait_to_leave().is_some_and(|at| now >= at);
+        let enabled = self.uses_caller_queue() && !leaves;
         let state = self.requests.get(&id);
         let Some(state) = state.filter(|state| enabled && may_wait(state)) else {
             return false;
@@ -253,6 +254,9 @@
             self.waits.services.clear();
             return;
         }
+        if self.latest_wait_to_leave().is_some_and(|at| now >= at) {
+            self.end_all_waits(now, WaitEnd::Draining, out);
+        }
         let mut changes = Vec::new();
         for (service, waits) in &mut self.waits.services {
             let change = waits.monitor.update(now);
@@ -277,6 +281,8 @@
         // Without records nobody tells when a slot is free, so the releases find out.
         let has_records = self.prepare_capacity(now, service);
         let forecast = self.capacity_forecast(now, service);
+        // A leaving node tries what it can in the time that is left to it.
+        let leaving = self.draining.is_some();
         let has_capacity = !has_records || forecast.is_some_and(|forecast| forecast.has_free_slot);
         let waits = self.waits.services.entry(service.clone()).or_default();
         let count = waits.pace.allowance(now);
@@ -289,10 +295,11 @@
                 .release(now, service, count, |entry| match entry.terms.reason() {
                     WaitReason::Declining => {
                         !declining
+                            || leaving
                             || (tries_early && entry.terms.is_nearly_late(now, EARLY_TRY_TIME))
                     }
                     WaitReason::NoRepeats => true,
-                    WaitReason::NoCapacity => has_capacity,
+                    WaitReason::NoCapacity => has_capacity || leaving,
                 });
         if !entries.is_empty() {
             waits.pace.released(now);
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -10,8 +10,8 @@
 use sycamorelink_guard::{GuardIdentity, GuardNode};
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
-    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ReturnPacer, ShareMember, ShareNode,
-    WorkId,
+    CrashRegistry, CustomerIndex, HolderCount, RefusalWindow, RetryBudget, ReturnPacer,
+    ShareMember, ShareNode, WorkId,
 };
 use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
@@ -28,7 +28,6 @@
 use crate::leaving::LeavingRecords;
 use crate::limit_records::LimitRecords;
 use crate::local_upstream::LocalUpstream;
-use crate::note::WaitEnd;
 use crate::quotas::QuotaState;
 use crate::repeat_loans::LoanState;
 use crate::request::{RequestState, WorkState};
@@ -117,6 +116,8 @@
     pub(crate) requests: BTreeMap<RequestId, RequestState>,
     /// Requests that wait until a backend server is likely to accept them.
     pub(crate) waits: WaitState,
+    /// Recent refusals to callers of this node, where overload control applies.
+    pub(crate) refusals: BTreeMap<ServiceName, RefusalWindow>,
     pub(crate) works: BTreeMap<WorkId, WorkState>,
     /// Work that waits for a turn to run, by the number of its request to the crash registry.
     pub(crate) awaiting_turn: BTreeMap<u64, WorkId>,
@@ -229,6 +230,7 @@
             avoided_upstreams: BTreeMap::new(),
             requests: BTreeMap::new(),
             waits,
+            refusals: BTreeMap::new(),
             works: BTreeMap::new(),
             awaiting_turn: BTreeMap::new(),
             held_failures: BTreeMap::new(),
@@ -281,6 +283,7 @@
     /// commands to `out`.
     pub fn handle(&mut self, now: Duration, event: NodeEvent, out: &mut Vec<NodeCommand>) {
         self.now = now;
+        let earlier = out.len();
         match event {
             NodeEvent::Tick => self.on_tick(now, out),
             NodeEvent::RequestArrived(caller) => self.on_request(now, caller, out),
@@ -342,6 +345,7 @@
             }
         }
         self.check_drained(now, out);
+        self.count_refusals(now, out.get(earlier..).unwrap_or_default());
     }
 
     /// Returns the time at which the next `Tick` is due, as time since the node started.
@@ -438,6 +442,7 @@
             self.tick_capacity(now, out);
             self.tick_repeat_loans(now, out);
             self.tick_caller_queue(now, out);
+            self.expire_refusals(now);
             self.recall_waiting(now, out);
         } else {
             self.maintain_contracts(now, out);
@@ -468,7 +473,6 @@
         }
         self.draining = Some(now);
         self.refuse_queues_to_leave(now, out);
-        self.end_all_waits(now, WaitEnd::Draining, out);
         self.handle_roster_event(now, RosterEvent::Leave, out);
         self.handle_guard_event(now, sycamorelink_guard::GuardEvent::DrainRequested, out);
     }
--- a/crates/engine/src/recall.rs
+++ b/crates/engine/src/recall.rs
@@ -22,11 +22,18 @@
 const START_FRACTION: u32 = 2;
 
 impl NodeEngine {
+    /// Returns the time until which the requests of this leaving node may wait; `None` if it is not
+    /// leaving.
+    pub(crate) fn latest_wait_to_leave(&self) -> Option<Duration> {
+        let since = self.draining?;
+        Some(since + self.settings.leave_serving / START_FRACTION)
+    }
+
     /// Returns the time by which the requests of this leaving node must have started; `None` if it
     /// is not leaving or without a deadline queue.
     pub(crate) fn latest_start_to_leave(&self) -> Option<Duration> {
-        let since = self.draining.filter(|_| self.queues_by_deadline())?;
-        Some(since + self.settings.leave_serving / START_FRACTION)
+        self.latest_wait_to_leave()
+            .filter(|_| self.queues_by_deadline())
     }
 
     /// Asks the executors to refuse the attempts of this leaving node that still wait, once the
--- a/crates/engine/tests/session/caller_queue.rs
+++ b/crates/engine/tests/session/caller_queue.rs
@@ -7,7 +7,7 @@
 
 use sycamorelink_contract::{FleetContract, FleetRoute, RepeatClass};
 use sycamorelink_core::{RefusalCode, RequestId, RunState};
-use sycamorelink_engine::{EngineSettings, NodeEngine, NodeEvent, WorkEnd};
+use sycamorelink_engine::{EngineSettings, LEAVE_SERVING, NodeEngine, NodeEvent, WorkEnd};
 use sycamorelink_limits::WaitReason;
 use sycamorelink_policy::PolicyMechanism;
 
@@ -458,6 +458,7 @@
     let request = fleet.call("a", 1);
     fleet.run_for(RUN_TIME * 2);
     fleet.world.send_event("a", NodeEvent::DrainRequested);
+    fleet.run_for(LEAVE_SERVING / 2);
     let (_, answer) = &fleet.world.answers[&request];
     let refusal = answer.refusal.as_ref().expect("refused");
     assert_eq!(refusal.code, RefusalCode::Draining);
@@ -465,6 +466,22 @@
     assert!(refusal.retry_after.is_some());
 }
 
+// Guards against refusing requests at the start of a drain that a server would accept a moment later:
+// daemons that are restarted in turn would each refuse all that wait there.
+#[test]
+fn waiting_requests_are_tried_again_before_their_node_leaves() {
+    let mut fleet = LoadedFleet::start(400, with_queue);
+    decline(&mut fleet.world, NODES, 100);
+    fleet.load(Duration::from_secs(2));
+    let request = fleet.call("a", 1);
+    fleet.run_for(RUN_TIME * 2);
+    decline(&mut fleet.world, NODES, 0);
+    fleet.world.send_event("a", NodeEvent::DrainRequested);
+    fleet.run_for(LEAVE_SERVING);
+    let (_, answer) = &fleet.world.answers[&request];
+    assert_eq!(answer.refusal, None);
+}
+
 // Guards against an unbounded queue: at most as many requests wait as the settings allow.
 #[test]
 fn queue_stays_within_its_limit() {
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -32,8 +32,9 @@
 pub use overload::{
     CallerNeed, CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
     LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, OverloadSettings, QueueCount,
-    QueueEntry, QueueEvent, QueuePlace, ReleasePace, RepeatBooks, RepeatOrigin, ReturnAdvice,
-    ReturnPacer, RunEnd, ServiceOutlook, WaitEntry, WaitReason, WaitTerms,
+    QueueEntry, QueueEvent, QueuePlace, RefusalSummary, RefusalWindow, ReleasePace, RepeatBooks,
+    RepeatOrigin, ReturnAdvice, ReturnPacer, RunEnd, ServiceOutlook, WaitEntry, WaitReason,
+    WaitTerms,
 };
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
--- a/crates/policy/src/soonest.rs
+++ b/crates/policy/src/soonest.rs
@@ -19,7 +19,7 @@
 use crate::capacity::{CapacityForecast, CapacityTable, ExpectedTime, LoadEstimate};
 use crate::pool::ServicePool;
 use crate::selection::COST_JITTER;
-use crate::spillover::DomainWaits;
+use crate::spillover::{DomainWaits, FULL_SHARE_WAIT};
 
 /// Shortest objective by which expected times are divided.
 const MIN_OBJECTIVE: Duration = Duration::from_millis(250);
@@ -135,7 +135,9 @@
     /// the share that the waits of both suggest.
     ///
     /// All candidates are kept if every one in the preferred domain is worse, apart from its wait,
-    /// than one in another domain: a share by waits says nothing about faults.
+    /// than one in another domain: a share by waits says nothing about faults. They are also kept if
+    /// the waits differ so much that all requests would cross, since the share follows a burst at
+    /// this node only after some hundred milliseconds.
     fn choose_domain(
         &mut self,
         now: Duration,
@@ -161,6 +163,9 @@
         let objective = terms.objective_left.max(MIN_OBJECTIVE);
         spillover.update(now, waits, objective.mul_f64(far_cost), objective);
         let crosses = spillover.crosses(self.random.random(), size_share);
+        if waits.near.saturating_sub(waits.far) > objective.mul_f64(FULL_SHARE_WAIT) {
+            return;
+        }
         let is_sound = far.standing_cost <= near.standing_cost + far_cost + COST_JITTER;
         if crosses && is_sound {
             candidates.retain(|other| other.is_far);
--- a/crates/policy/src/spillover.rs
+++ b/crates/policy/src/spillover.rs
@@ -14,7 +14,7 @@
 /// Difference of the waits beyond the cost of crossing at which all requests cross, as a fraction of
 /// the latency objective. With reports that are half a second old, a quarter of an objective of 4 s
 /// leaves a phase margin of about 45 degrees.
-const FULL_SHARE_WAIT: f64 = 0.25;
+pub(crate) const FULL_SHARE_WAIT: f64 = 0.25;
 /// Upper bound of the share. Some requests stay, so that the own domain is still observed.
 const MAX_SHARE: f64 = 0.9;
 /// Longest step that one update covers. After a pause the waits are unknown, not constant.
