Do not attribute a request to a run of its own service

Cause: a request without an account key whose deadline lies within 20 ms of that of a local run counted as a call of the run. Callers without accounts that allow the same time and send requests at the same moment thus got the account, the priority and the objective of each other's runs.

Change: runs of the requested service are not considered, since a server does not call its own service.

--- a/crates/engine/src/attribution.rs
+++ b/crates/engine/src/attribution.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use sycamorelink_core::CustomerName;
+use sycamorelink_core::{CustomerName, ServiceName};
 use sycamorelink_limits::WorkId;
 use sycamorelink_policy::{OpenWork, PolicyMechanism};
 
@@ -59,7 +59,15 @@
     ///
     /// A request with an account key is never a call, and neither is one without a time left. Of several
     /// runs, the one with the nearest deadline counts. At worst, a call gets the account of another run.
-    pub(crate) fn calling_run(&self, now: Duration, caller: &CallerRequest) -> Option<CallingRun> {
+    ///
+    /// A run does not call its own service. Callers without an account that allow the same time would
+    /// otherwise get the account and priority of each other's runs.
+    pub(crate) fn calling_run(
+        &self,
+        now: Duration,
+        caller: &CallerRequest,
+        service: &ServiceName,
+    ) -> Option<CallingRun> {
         if !self.uses_overload_mechanism(PolicyMechanism::FairQueueing)
             || caller.account_key.is_some()
         {
@@ -67,7 +75,9 @@
         }
         let deadline = now + caller.time_left?;
         let running = self.works.iter();
-        let running = running.filter(|(_, state)| state.phase == WorkPhase::Running);
+        let running = running.filter(|(_, state)| {
+            state.phase == WorkPhase::Running && state.offer.service != *service
+        });
         let near = running.filter_map(|(work, state)| {
             let difference = state.deadline.abs_diff(deadline);
             (difference <= MAX_DEADLINE_DIFFERENCE).then_some((difference, *work))
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -114,7 +114,7 @@
             .time_left
             .map_or(rule.deadline, |left| left.min(rule.deadline));
         let idempotent = rule.repeat == RepeatClass::Idempotent;
-        let called_by = self.calling_run(now, &caller);
+        let called_by = self.calling_run(now, &caller, &rule.service);
         let first_arrival =
             self.first_arrival(&rule.service, account.is_some(), called_by.as_ref());
         if let Some(run) = &called_by {
--- a/crates/engine/tests/session/attribution.rs
+++ b/crates/engine/tests/session/attribution.rs
@@ -117,6 +117,21 @@
     (account, order.priority)
 }
 
+// Guards against callers without an account that get the account and priority of other work because
+// they allow the same time: a server does not call its own service.
+#[test]
+fn request_for_the_local_service_is_no_call() {
+    let mut world = prepare(calling_fleet(), &["a", "b"]);
+    world.send_caller("a", request(1, "harbour", millis(5000)));
+    world.run_for(millis(300));
+    world.send_caller("a", call(2, millis(4695)));
+    world.run_for(millis(50));
+    assert!(world.runs.contains_key(&RequestId(2)), "it runs beside b");
+    world.send_caller("b", call(3, millis(2950)));
+    world.run_for(millis(10));
+    assert_eq!(attributes_of(&world, 3), (None, ROUTE_PRIORITY));
+}
+
 // Guards against calls that wait behind all accounts, or at the priority of their route, while a run
 // of an account waits for them.
 #[test]
