Apply the memory limit of overload control only where the contract calls for it

Cause: the limit applied with limits.overload.objective_from alone, also under contracts without such objectives, where nothing may change. Change: the account counts always and refuses only while the deadline queue is in use. A gate that closes no longer starts queued work in the same tick, which was then refused and kept its slot.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -93,6 +93,8 @@
         let mut shared = SharedParts::new(&settings, clock, inbox, facts.instance, adapters);
         let overload = &engine_settings.overload;
         shared.memory = MemoryAccount::new(overload.objective_from.map(|_| overload.memory));
+        // The contract decides.
+        shared.memory.enforce(false);
         let metrics_thread = start_metrics(shared.telemetry.clone(), Arc::clone(&shared.stop))?;
         let work = start_work(&shared, sockets.peers, keys.clone())?;
         let (log_commands, log_thread) = match contracts {
--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -284,7 +284,12 @@
                 let incarnation = incarnation.0;
                 self.send_log(LogCommand::RecordIncarnation { incarnation });
             }
-            NodeCommand::ContractsChanged => self.notes.refresh_objectives(self.engine.table()),
+            NodeCommand::ContractsChanged => {
+                self.notes.refresh_objectives(self.engine.table());
+                self.outputs
+                    .memory
+                    .enforce(self.engine.queues_by_deadline());
+            }
             NodeCommand::Drained => self.outputs.drained.store(true, Ordering::Release),
             NodeCommand::Note(note) => {
                 if let Some(request) = self.notes.record(now, &note) {
--- a/crates/daemon/src/memory.rs
+++ b/crates/daemon/src/memory.rs
@@ -11,7 +11,7 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use bytes::Bytes;
 
@@ -27,6 +27,9 @@
 struct AccountBalance {
     limit: u64,
     used: AtomicU64,
+    /// Whether the limit applies. Bytes are counted in any case, so that the balance is right when
+    /// a contract switches the limit on.
+    enforced: AtomicBool,
 }
 
 impl MemoryAccount {
@@ -37,6 +40,7 @@
             Arc::new(AccountBalance {
                 limit,
                 used: AtomicU64::new(0),
+                enforced: AtomicBool::new(true),
             })
         });
         Self { balance }
@@ -49,10 +53,24 @@
         balance.map_or(0, |balance| balance.used.load(Ordering::Relaxed))
     }
 
-    /// Returns the limit in bytes; `None` without one.
+    /// Sets whether the limit applies.
+    ///
+    /// The settings alone do not tell whether the contract in force has objectives for which
+    /// overload control is meant.
+    pub fn enforce(&self, enforced: bool) {
+        if let Some(balance) = &self.balance {
+            balance.enforced.store(enforced, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the limit in bytes that applies; `None` without one.
     #[must_use]
     pub fn limit(&self) -> Option<u64> {
-        self.balance.as_ref().map(|balance| balance.limit)
+        let balance = self.balance.as_ref()?;
+        balance
+            .enforced
+            .load(Ordering::Relaxed)
+            .then_some(balance.limit)
     }
 
     /// Returns whether no further byte fits.
@@ -101,10 +119,8 @@
         let Some(balance) = &self.account.balance else {
             return true;
         };
-        let grown = |used: u64| {
-            used.checked_add(bytes)
-                .filter(|used| *used <= balance.limit)
-        };
+        let limit = self.account.limit().unwrap_or(u64::MAX);
+        let grown = |used: u64| used.checked_add(bytes).filter(|used| *used <= limit);
         let order = Ordering::Relaxed;
         let fits = balance.used.fetch_update(order, order, grown).is_ok();
         if fits {
--- a/crates/daemon/tests/memory.rs
+++ b/crates/daemon/tests/memory.rs
@@ -64,3 +64,17 @@
     assert!(!account.is_full());
     assert_eq!(account.hold(Bytes::from_static(b"reply")), "reply");
 }
+
+// Guards against a limit in a fleet whose settings allow overload control while its contract does not
+// call for it.
+#[test]
+fn limit_applies_only_while_enforced() {
+    let account = MemoryAccount::new(Some(100));
+    account.enforce(false);
+    let held = account.try_reserve(150).expect("no limit applies");
+    assert_eq!(account.limit(), None);
+    account.enforce(true);
+    assert!(account.try_reserve(1).is_none(), "what is held counts");
+    drop(held);
+    assert!(account.try_reserve(1).is_some());
+}
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -416,6 +416,7 @@
             if upstream.closes_at.is_some_and(|at| at <= now) && !upstream.gate.is_closed() {
                 upstream.gate.close();
                 closed.push(*slot);
+                continue;
             }
             upstream.gate.tick(now, &mut commands);
         }
--- a/crates/engine/src/gates.rs
+++ b/crates/engine/src/gates.rs
@@ -24,7 +24,8 @@
 
 impl NodeEngine {
     /// Returns whether work waits beside the local backend servers by objective and deadline.
-    pub(crate) fn queues_by_deadline(&self) -> bool {
+    #[must_use]
+    pub fn queues_by_deadline(&self) -> bool {
         self.uses_overload_mechanism(PolicyMechanism::DeadlineQueue)
     }
 
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -163,8 +163,8 @@
     leaving_ticks: u32,
     /// Whether peers were notified that this node ended.
     departed: bool,
-    /// Whether the waiting requests of this leaving node were recalled.
-    pub(crate) recalled: bool,
+    /// When the waiting requests of this leaving node were recalled; `None` before.
+    pub(crate) recalled_at: Option<Duration>,
     /// Time of the latest event.
     pub(crate) now: Duration,
     initial_seeds: Vec<SocketAddr>,
@@ -265,7 +265,7 @@
             handover: HandoverState::default(),
             leaving_ticks: 0,
             departed: false,
-            recalled: false,
+            recalled_at: None,
             now: Duration::ZERO,
             initial_seeds: Vec::new(),
             seeded: false,
--- a/crates/engine/src/recall.rs
+++ b/crates/engine/src/recall.rs
@@ -45,10 +45,10 @@
         let Some(latest_start) = self.latest_start_to_leave() else {
             return;
         };
-        if self.recalled || now < latest_start {
+        if self.recalled_at.is_some() || now < latest_start {
             return;
         }
-        self.recalled = true;
+        self.recalled_at = Some(now);
         let own = self.own.instance.node;
         let open = self.requests.iter().flat_map(|(id, state)| {
             let attempts = open_attempts(state);
--- a/crates/engine/src/returns.rs
+++ b/crates/engine/src/returns.rs
@@ -32,10 +32,10 @@
             refusal.code,
             RefusalCode::Overloaded | RefusalCode::UpstreamSuspect | RefusalCode::RepeatsSpent
         );
-        let paced = refusal.run == RunState::NotRun
+        let applies = refusal.run == RunState::NotRun
             && short_of_capacity
             && self.uses_overload_mechanism(PolicyMechanism::PacedReturns);
-        let Some(state) = self.requests.get(&id).filter(|_| paced) else {
+        let Some(state) = self.requests.get(&id).filter(|_| applies) else {
             return refusal;
         };
         let service = state.rule.service.clone();
--- a/crates/limits/src/overload/refusals.rs
+++ b/crates/limits/src/overload/refusals.rs
@@ -44,7 +44,7 @@
 
 impl RefusalWindow {
     /// Time that the window covers.
-    pub const LENGTH: Duration = Duration::from_secs(60);
+    pub const LENGTH: Duration = Duration::from_mins(1);
 
     /// Counts a refusal; `account` is `None` if the caller has none.
     pub fn record(&mut self, now: Duration, code: RefusalCode, account: Option<&CustomerName>) {
