--- a/crates/limits/src/overload/refusals.rs
+++ b/crates/limits/src/overload/refusals.rs
@@ -9,9 +9,9 @@
 const SLICE_TIME: Duration = Duration::from_secs(5);
 /// Number of slices in the window.
 const SLICES: u64 = 12;
-/// Maximum number of accounts that are counted by name in one slice. Memory of all slices together
-/// stays below 200 KB, however many accounts a contract has.
-const MAX_ACCOUNTS: usize = 128;
+/// Maximum number of accounts that are counted by name in one slice. It bounds the memory of a
+/// window, however many accounts a contract has.
+const MAX_ACCOUNTS: usize = 64;
 
 /// Refusals in one slice of the window.
 #[derive(Clone, Debug, Default)]
