Bound the slots of the deadline gate by the learned concurrency limit

In a standing overload a server whose run times double between 10 and 15 concurrent runs serves less than it could at 10. The gate can now learn a ConcurrencyLimit and opens only the slots that it allows. A gate that is replaced passes its limit and run costs on.

Probes are on. A probe starts only if work has waited at every tick since the decision before.

A decrease to the present limit of a probe is reported as a change as well. A run that ends when it starts is no longer counted as excluded, since it was withdrawn.

--- a/crates/limits/src/admission/interface.rs
+++ b/crates/limits/src/admission/interface.rs
@@ -3,7 +3,7 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
-use crate::overload::{QueueCount, QueueEvent, QueuePlace};
+use crate::overload::{LearnedRuns, LimitChange, QueueCount, QueueEvent, QueuePlace};
 
 use super::{GateCommand, GateDecision, GateLoad, PermitBucket, WarmUp, WorkClass, WorkId};
 
@@ -57,6 +57,25 @@
     /// Frees the slot of work that ended without a valid service time sample.
     fn released(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>);
 
+    /// Excludes running work from what the gate learns about the concurrency of its server. Called
+    /// before [`Self::finished`] for work that ended while the server may have been failing.
+    fn exclude_run(&mut self, _now: Duration, _work: WorkId) {}
+
+    /// Removes and returns the latest change of the learned concurrency limit.
+    fn take_limit_change(&mut self) -> Option<LimitChange> {
+        None
+    }
+
+    /// Removes and returns what the gate has learned about its server; `None` if it learns no
+    /// concurrency limit.
+    fn take_learned(&mut self) -> Option<LearnedRuns> {
+        None
+    }
+
+    /// Continues with what an earlier gate of the same incarnation of the server has learned.
+    /// Called before work is adopted. Dropped by a gate that learns no concurrency limit.
+    fn put_learned(&mut self, _now: Duration, _learned: LearnedRuns) {}
+
     /// Frees the slot of work whose cancellation crossed its start.
     fn cancelled(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
         self.finished(now, work, out);
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -31,9 +31,9 @@
 pub use holder_count::HolderCount;
 pub use overload::{
     CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
-    LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, OverloadSettings, QueueCount,
-    QueueEntry, QueueEvent, QueuePlace, ReleasePace, RepeatBooks, RepeatOrigin, RunEnd, WaitEntry,
-    WaitReason, WaitTerms,
+    LOAN_DURATION, LearnedRuns, LimitCause, LimitChange, LoanAsk, LoanAskHistory, LoanCandidate,
+    OverloadSettings, QueueCount, QueueEntry, QueueEvent, QueuePlace, ReleasePace, RepeatBooks,
+    RepeatOrigin, RunEnd, WaitEntry, WaitReason, WaitTerms,
 };
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
--- a/crates/limits/src/overload/concurrency.rs
+++ b/crates/limits/src/overload/concurrency.rs
@@ -78,6 +78,54 @@
     Excluded,
 }
 
+/// Cause of a change of the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitCause {
+    /// Fewer concurrent runs yield more runs per second.
+    Decrease,
+    /// The limit was moved by one to see what it yields.
+    Trial,
+    /// The trial or probe before yielded too little, or has ended.
+    TrialEnd,
+    /// All slots were open, and fewer are tried for one interval.
+    Probe,
+}
+
+impl LimitCause {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Decrease => "decrease",
+            Self::Trial => "trial",
+            Self::TrialEnd => "trial-end",
+            Self::Probe => "probe",
+        }
+    }
+}
+
+/// Change of a concurrency limit, and what it was decided from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitChange {
+    /// Number of concurrent runs allowed before; for a decrease, before the trial or probe that led
+    /// to it.
+    pub from: u32,
+    /// Number of concurrent runs allowed from now on.
+    pub to: u32,
+    /// Cause of the change.
+    pub cause: LimitCause,
+    /// Mean number of concurrent runs since the decision before.
+    pub concurrency: f64,
+    /// Mean run time of the samples since the decision before; zero without samples.
+    pub mean_run: Duration,
+    /// Number of samples since the decision before.
+    pub samples: u32,
+    /// Factor by which runs per second at the new limit are expected to exceed those at the former.
+    pub gain: f64,
+    /// Standard error of the logarithm of the gain.
+    pub gain_error: f64,
+}
+
 /// Concurrency limit of one backend server.
 ///
 /// The limit lies between half of the slots, rounded up, and all slots. It decreases to the
@@ -101,12 +149,21 @@
     period_ends: Duration,
     periods: VecDeque<GrowthPeriod>,
     next_decision: Duration,
+    decided_at: Duration,
+    /// Value of the first of `term_seconds` at the last decision.
+    decided_use: f64,
     trial_samples: u32,
+    /// Run time of the samples since the last decision.
+    trial_time: Duration,
     reached_limit: bool,
     /// Whether the last increase was not kept and no lower limit was tried since.
     trial_failed: bool,
     /// Times of the probes; `None` without probes.
     probe: Option<ProbeTimes>,
+    /// Whether no probe starts at the next decision.
+    probes_held: bool,
+    /// The latest change, until it is taken.
+    change: Option<LimitChange>,
 }
 
 /// Times at which the limit is lowered for one decision interval without evidence.
@@ -127,7 +184,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct OpenRun {
-    kind: u64,
+    /// Hash of the route; `None` if the concurrency over the time of the run is not known.
+    kind: Option<u64>,
     started: Duration,
     term_seconds: Terms,
 }
@@ -294,10 +352,15 @@
             period_ends: now + PERIOD,
             periods: VecDeque::new(),
             next_decision: now + DECISION_INTERVAL,
+            decided_at: now,
+            decided_use: 0.0,
             trial_samples: 0,
+            trial_time: Duration::ZERO,
             reached_limit: false,
             trial_failed: false,
             probe: None,
+            probes_held: false,
+            change: None,
         }
     }
 
@@ -321,6 +384,35 @@
         self.probe = probes.then(|| ProbeTimes::after(now));
     }
 
+    /// Continues after a time in which the runs of the server were not counted. Open runs, the
+    /// present period and a present trial are dropped; periods, mean run times and the limit are
+    /// kept.
+    pub fn resume(&mut self, now: Duration) {
+        self.runs.clear();
+        self.counted_at = now;
+        self.period = GrowthPeriod::default();
+        self.period_ends = now + PERIOD;
+        self.limit = self.confirmed;
+        self.start_interval(now);
+        self.reached_limit = false;
+    }
+
+    /// Prevents a probe at the next decision. Has no effect without [`Self::with_probes`].
+    pub const fn hold_probes(&mut self) {
+        self.probes_held = true;
+    }
+
+    /// Removes and returns the latest change of the limit.
+    pub const fn take_change(&mut self) -> Option<LimitChange> {
+        self.change.take()
+    }
+
+    /// Returns the number of slots of the server.
+    #[must_use]
+    pub const fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Returns the maximum number of concurrent runs.
     #[must_use]
     pub const fn limit(&self) -> u32 {
@@ -335,6 +427,15 @@
 
     /// Counts the start of a run. `kind` is the hash of the route.
     pub fn started(&mut self, now: Duration, work: WorkId, kind: u64) {
+        self.add_run(now, work, Some(kind));
+    }
+
+    /// Counts a run that started at an unknown concurrency. Its run time is no sample.
+    pub fn adopted(&mut self, now: Duration, work: WorkId) {
+        self.add_run(now, work, None);
+    }
+
+    fn add_run(&mut self, now: Duration, work: WorkId, kind: Option<u64>) {
         self.count_until(now);
         let run = OpenRun {
             kind,
@@ -345,23 +446,28 @@
         self.reached_limit |= self.runs.len() >= self.limit as usize;
     }
 
-    /// Counts the end of a run. An unknown run is ignored.
+    /// Counts the end of a run. An unknown run is ignored, and one that ended at the time of its
+    /// start, since it was withdrawn before it ran.
     pub fn ended(&mut self, now: Duration, work: WorkId, end: RunEnd) {
         self.tick(now);
         self.count_until(now);
         let Some(run) = self.runs.remove(&work) else {
             return;
         };
-        let seconds = now.saturating_sub(run.started).as_secs_f64();
-        if end == RunEnd::Excluded || seconds <= 0.0 {
+        let time = now.saturating_sub(run.started);
+        let Some(kind) = run.kind.filter(|_| !time.is_zero()) else {
+            return;
+        };
+        if end == RunEnd::Excluded {
             self.period.excluded += 1.0;
             return;
         }
+        let seconds = time.as_secs_f64();
         let mut terms = self.term_seconds;
         for (term, before) in terms.iter_mut().zip(run.term_seconds) {
             *term = (*term - before) / seconds;
         }
-        let mean = self.mean_of(run.kind);
+        let mean = self.mean_of(kind);
         let log_ratio = if mean.samples > 0.0 {
             seconds.ln() - mean.log_seconds
         } else {
@@ -375,6 +481,7 @@
         let log_ratio = log_ratio.clamp(-MAX_LOG_RATIO, MAX_LOG_RATIO);
         self.period.add(&terms, log_ratio);
         self.trial_samples += 1;
+        self.trial_time += time;
     }
 
     /// Decides on the limit if a decision is due. Returns the new limit if it changed.
@@ -386,24 +493,61 @@
         if now < self.next_decision {
             return None;
         }
-        self.next_decision = now + DECISION_INTERVAL;
-        let samples = std::mem::take(&mut self.trial_samples);
-        let reached_limit = std::mem::take(&mut self.reached_limit);
+        self.count_until(now);
         let former = self.limit;
+        let mut from = former;
         let curve = GrowthCurve::fit(self.periods.iter());
         self.end_trial(&curve);
+        let has_ended = self.limit != former;
+        let mut cause = LimitCause::TrialEnd;
         if let Some(limit) = self.better_limit(&curve) {
+            from = std::mem::replace(&mut self.confirmed, limit);
             self.limit = limit;
-            self.confirmed = limit;
+            cause = LimitCause::Decrease;
             if let Some(probe) = &mut self.probe {
                 *probe = ProbeTimes::after(now);
             }
-        } else if self.limit == former && reached_limit && samples >= MIN_TRIAL_SAMPLES {
-            self.start_trial(now, &curve);
+        } else if !has_ended && self.reached_limit && self.trial_samples >= MIN_TRIAL_SAMPLES {
+            cause = self.start_trial(now, &curve);
         }
+        if self.limit != former || cause == LimitCause::Decrease {
+            self.change = Some(self.change_from(now, from, cause, &curve));
+        }
+        self.start_interval(now);
+        (self.limit != former).then_some(self.limit)
+    }
+
+    fn change_from(
+        &self,
+        now: Duration,
+        from: u32,
+        cause: LimitCause,
+        curve: &GrowthCurve,
+    ) -> LimitChange {
+        let (gain, gain_error) = curve.gain(self.slots, from, self.limit);
+        let elapsed = now.saturating_sub(self.decided_at).as_secs_f64();
+        let used = (self.term_seconds[0] - self.decided_use) / elapsed.max(f64::MIN_POSITIVE);
+        LimitChange {
+            from,
+            to: self.limit,
+            cause,
+            concurrency: used * f64::from(self.slots),
+            mean_run: self.trial_time / self.trial_samples.max(1),
+            samples: self.trial_samples,
+            gain: gain.exp(),
+            gain_error,
+        }
+    }
+
+    fn start_interval(&mut self, now: Duration) {
+        self.next_decision = now + DECISION_INTERVAL;
+        self.decided_at = now;
+        self.decided_use = self.term_seconds[0];
+        self.trial_samples = 0;
+        self.trial_time = Duration::ZERO;
+        self.probes_held = false;
         // Runs that continue occupy the limit without another start.
         self.reached_limit = self.runs.len() >= self.limit as usize;
-        (self.limit != former).then_some(self.limit)
     }
 
     /// Keeps the limit of a trial that yields enough more runs per second. Returns to the former
@@ -424,17 +568,18 @@
     ///
     /// After an increase that was not kept, the next trial is one below the limit. Otherwise a limit
     /// that is too high by two would stay, since nothing shows how the server runs below it.
-    fn start_trial(&mut self, now: Duration, curve: &GrowthCurve) {
+    fn start_trial(&mut self, now: Duration, curve: &GrowthCurve) -> LimitCause {
         if self.limit < self.slots {
             if std::mem::take(&mut self.trial_failed) && self.limit > self.slots.div_ceil(2) {
                 self.limit -= 1;
-                return;
+            } else {
+                self.limit += 1;
             }
-            self.limit += 1;
-            return;
+            return LimitCause::Trial;
         }
-        let Some(probe) = self.probe.as_mut().filter(|probe| now >= probe.next) else {
-            return;
+        let probe = self.probe.as_mut().filter(|_| !self.probes_held);
+        let Some(probe) = probe.filter(|probe| now >= probe.next) else {
+            return LimitCause::Trial;
         };
         let lowest = self.slots.div_ceil(2);
         let probed = (self.slots - self.slots.div_ceil(PROBE_DIVISOR)).max(lowest);
@@ -445,6 +590,7 @@
         };
         probe.next = now + probe.interval;
         self.limit = probed;
+        LimitCause::Probe
     }
 
     /// Returns the lower concurrency with the most runs per second, if there is evidence of a
--- a/crates/limits/src/overload/gate.rs
+++ b/crates/limits/src/overload/gate.rs
@@ -7,6 +7,7 @@
 
 use crate::admission::{GateCommand, GateDecision, PermitBucket, RetryPacer, WarmUp, WorkId};
 
+use super::concurrency::ConcurrencyLimit;
 use super::gate_builder::DeadlineGateBuilder;
 use super::inflow::InflowWindow;
 use super::queue::{DeadlineQueue, WaitingWork, cautious_wait};
@@ -30,6 +31,8 @@
     pub(super) running: BTreeMap<WorkId, RunningWork>,
     pub(super) queue: DeadlineQueue,
     pub(super) costs: RunCosts,
+    /// Learned limit on the open slots; `None` if it is switched off.
+    pub(super) concurrency: Option<ConcurrencyLimit>,
     /// Inflow of offers that would meet their objective at a free slot.
     ///
     /// Refused offers count as well. Behind a full queue few offers are accepted as in time, and
@@ -58,6 +61,7 @@
             running: BTreeMap::new(),
             queue: DeadlineQueue::default(),
             costs: RunCosts::new(builder.first_service_time),
+            concurrency: builder.new_concurrency_limit(),
             inflow: InflowWindow::default(),
             pacer: RetryPacer::default(),
             permits: None,
@@ -68,7 +72,7 @@
     }
 
     pub(super) fn open_slots(&self, now: Duration) -> u32 {
-        self.warm_up.open_slots(now, self.slots)
+        self.limited_slots(self.warm_up.open_slots(now, self.slots))
     }
 
     /// Returns whether another request may start: a slot and, under a rate limit, a permit is free.
@@ -96,6 +100,7 @@
             since: now,
         };
         self.running.insert(waiting.work(), running);
+        self.count_limited_start(now, waiting.work(), waiting.kind());
     }
 
     /// Decides on work for which no slot is free.
--- a/crates/limits/src/overload/gate_admission.rs
+++ b/crates/limits/src/overload/gate_admission.rs
@@ -9,7 +9,9 @@
     WorkClass, WorkId,
 };
 
+use super::concurrency::{LimitChange, RunEnd};
 use super::gate::{DeadlineGate, RunningWork, refused};
+use super::gate_limit::LearnedRuns;
 use super::queue::{QueueCount, WaitingWork, run_allowance};
 use super::queue_report::{QueueEvent, QueuePlace};
 
@@ -80,14 +82,32 @@
             self.costs.record(run.kind, now.saturating_sub(run.since));
             self.queue.update_costs(&self.costs);
         }
+        self.count_limited_end(now, work, RunEnd::Served);
         self.tick(now, out);
     }
 
     fn released(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
         self.running.remove(&work);
+        self.count_limited_end(now, work, RunEnd::Excluded);
         self.tick(now, out);
     }
 
+    fn exclude_run(&mut self, now: Duration, work: WorkId) {
+        self.count_limited_end(now, work, RunEnd::Excluded);
+    }
+
+    fn take_limit_change(&mut self) -> Option<LimitChange> {
+        self.take_change()
+    }
+
+    fn take_learned(&mut self) -> Option<LearnedRuns> {
+        self.take_learned_runs()
+    }
+
+    fn put_learned(&mut self, now: Duration, learned: LearnedRuns) {
+        self.put_learned_runs(now, learned);
+    }
+
     fn cancelled(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
         self.released(now, work, out);
     }
@@ -98,6 +118,7 @@
 
     fn tick(&mut self, now: Duration, out: &mut Vec<GateCommand>) {
         self.expire(now, out);
+        self.tick_limit(now);
         while self.has_capacity(now)
             && let Some(next) = self.queue.pop()
         {
@@ -164,6 +185,7 @@
             since,
         };
         self.running.insert(work, run);
+        self.count_adopted(since, work);
     }
 
     fn warm_up(&self) -> WarmUp {
--- a/crates/limits/src/overload/gate_builder.rs
+++ b/crates/limits/src/overload/gate_builder.rs
@@ -4,6 +4,7 @@
 
 use crate::admission::{GateSettings, WarmUp};
 
+use super::concurrency::ConcurrencyLimit;
 use super::gate::DeadlineGate;
 use super::settings::OverloadSettings;
 
@@ -14,6 +15,7 @@
     pub(super) queue: u32,
     pub(super) first_service_time: Duration,
     pub(super) warm_up: WarmUp,
+    limits_concurrency: bool,
 }
 
 impl DeadlineGateBuilder {
@@ -34,6 +36,7 @@
                 since: now,
                 length: warm_up,
             },
+            limits_concurrency: false,
         }
     }
 
@@ -65,6 +68,22 @@
         self
     }
 
+    /// Sets whether the gate learns how many of the slots yield the most runs per second, and opens
+    /// only these.
+    #[must_use]
+    pub const fn limit_concurrency(mut self, limited: bool) -> Self {
+        self.limits_concurrency = limited;
+        self
+    }
+
+    /// Returns the limit of a new gate. In a standing overload all slots are in use, so that only
+    /// probes show how the run times grow.
+    pub(super) fn new_concurrency_limit(&self) -> Option<ConcurrencyLimit> {
+        let started = self.warm_up.since;
+        let limit = || ConcurrencyLimit::new(started, self.slots).with_probes(started);
+        self.limits_concurrency.then(limit)
+    }
+
     /// Creates the gate.
     #[must_use]
     pub fn build(self) -> DeadlineGate {
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -18,6 +18,7 @@
 mod gate;
 mod gate_admission;
 mod gate_builder;
+mod gate_limit;
 mod inflow;
 pub mod loans;
 mod queue;
@@ -28,10 +29,11 @@
 mod settings;
 
 pub use caller_queue::{CallerQueue, JoinDecision, WaitEntry, WaitReason, WaitTerms};
-pub use concurrency::{ConcurrencyLimit, RunEnd};
+pub use concurrency::{ConcurrencyLimit, LimitCause, LimitChange, RunEnd};
 pub use fair::{FairQueue, QueueEntry};
 pub use gate::DeadlineGate;
 pub use gate_builder::DeadlineGateBuilder;
+pub use gate_limit::LearnedRuns;
 pub use loans::{
     GrantError, LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, RepeatBooks, RepeatOrigin,
     choose_lenders,
