Learn limits and relative run times of backend servers

The concurrency limit was not used, and pick_soonest compared servers by a mean run time that depends on the kinds of work that each happened to run.

The engine switches the limit on with adaptive-concurrency. Runs that ended with an error or without a reply are no samples; those of a server that its breaker suspects count for the run time only. A replaced gate continues with the limit, a new incarnation starts with all slots. Every change is logged as SL3019 with its inputs; concurrency_limit and mean_run_time are gauges.

Capacity records carry the run time relative to the service for the same kinds (one byte, so builds of different versions cannot exchange records). Receivers multiply it by the mean run time of the service. The run time of a server that reports failures counts as at least the mean.

A probe now starts if work waited for three quarters of the interval instead of at every tick, so that moments without a queue do not prevent it.

Servers with other kinds of work and the same speed get equal work.

--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -23,6 +23,7 @@
 use sycamorelink_contract::RouteTable;
 use sycamorelink_core::{InstanceId, RequestId, ServiceName, UpstreamId};
 use sycamorelink_engine::NodeNote;
+use sycamorelink_limits::LimitChange;
 use sycamorelink_telemetry::burn::{AlertTracker, BurnQuery};
 use sycamorelink_telemetry::reach::PartitionMonitor;
 use sycamorelink_telemetry::{BurnLedger, BurnReport, EventCode, EventFields, MetricName};
@@ -140,6 +141,11 @@
                 rate,
                 limited_for,
             } => self.record_server_limit(id, service, *rate, *limited_for),
+            NodeNote::ConcurrencyLimitChanged {
+                id,
+                service,
+                change,
+            } => self.emit_limit_change(id, service, change),
             NodeNote::LoanAsked { .. }
             | NodeNote::LoanAnswered { .. }
             | NodeNote::LoanReceived { .. }
@@ -403,6 +409,22 @@
         }
     }
 
+    fn emit_limit_change(&self, id: &UpstreamId, service: &ServiceName, change: &LimitChange) {
+        let reason = format!(
+            "from {}: {}, concurrency {:.1}, run time {}ms of {} runs, gain {:.3}, error {:.3}",
+            change.from,
+            change.cause.as_str(),
+            change.concurrency,
+            change.mean_run.as_millis(),
+            change.samples,
+            change.gain,
+            change.gain_error,
+        );
+        let fields = EventFields::new().upstream(id).service(service);
+        let fields = fields.limit(&change.to).reason(&reason);
+        self.emit(EventCode::ConcurrencyLimitChanged, &fields);
+    }
+
     fn emit_upstream(&self, code: EventCode, id: &UpstreamId, service: &ServiceName) {
         self.emit(code, &EventFields::new().upstream(id).service(service));
     }
--- a/crates/daemon/src/notes/periodic.rs
+++ b/crates/daemon/src/notes/periodic.rs
@@ -68,6 +68,7 @@
             self.metrics.set(key, oldest);
         }
         self.update_queue_gauges(engine);
+        self.update_speed_gauges(engine);
         if self.memory.limit().is_some() {
             self.set_gauge(MetricName::MemoryHeld, self.memory.used());
         }
@@ -91,6 +92,26 @@
         }
     }
 
+    /// Updates the learned limits and run times of the local backend servers. They keep their last
+    /// values when the limit is switched off.
+    fn update_speed_gauges(&mut self, engine: &NodeEngine) {
+        let mut speeds: BTreeMap<ServiceName, (u64, Duration, u32)> = BTreeMap::new();
+        for status in engine.server_speeds() {
+            let (limit, time, count) = speeds.entry(status.service).or_default();
+            *limit += u64::from(status.limit);
+            *time += status.mean_run;
+            *count += 1;
+        }
+        for (service, (limit, time, count)) in &speeds {
+            let key = SeriesKey::of(MetricName::ConcurrencyLimit).service(service);
+            self.metrics.set(key, *limit);
+            let mean_run = (*time / *count).as_millis();
+            let key = SeriesKey::of(MetricName::MeanRunTime).service(service);
+            self.metrics
+                .set(key, u64::try_from(mean_run).unwrap_or(u64::MAX));
+        }
+    }
+
     fn update_member_gauges(&mut self, engine: &NodeEngine) {
         let status = engine.status();
         self.set_gauge(MetricName::KeysHeld, status.guard.keys as u64);
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use sycamorelink_core::{RefusalCode, ServiceName, UpstreamId};
+use sycamorelink_limits::ServerSpeed;
 use sycamorelink_policy::{PolicyMechanism, UpstreamBreaker, UpstreamPhase};
 use sycamorelink_roster::RosterEvent;
 
@@ -204,6 +205,8 @@
             announced: announced.clone(),
             gate: self.new_gate(now, announced),
             queues_by_deadline: self.queues_by_deadline(),
+            learned: None,
+            speed: ServerSpeed::default(),
             breaker: UpstreamBreaker::new(now)
                 .use_run_ages(self.settings.policy.is_on(PolicyMechanism::OpenRuns)),
             limit: None,
--- a/crates/engine/src/capacity.rs
+++ b/crates/engine/src/capacity.rs
@@ -296,6 +296,7 @@
             expected_wait_ms: millis(load.expected_wait),
             mean_run_ms: millis(load.mean_run),
             failing: hint.failing,
+            relative_run: self.relative_run(slot),
             repeats,
             age_ms: 0,
         };
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -86,6 +86,7 @@
                 pool.learn_reply_size(kind_of_work, report.reply_bytes);
             }
         }
+        self.learn_service_time(&service, kind_of_work, report);
         self.observe_for_waits(now, (&service, kind_of_work), attempt.upstream, report, out);
         if report.run == RunState::Ran && !is_server_error(report) {
             if earlier {
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -24,9 +24,10 @@
 use crate::node::{HandoverState, NodeEngine};
 use crate::note::NodeNote;
 use crate::request::{WorkPhase, WorkState};
+use crate::server_speed::RunUse;
 
 /// Lowest HTTP status that counts as a server error.
-const SERVER_ERROR: u16 = 500;
+pub(crate) const SERVER_ERROR: u16 = 500;
 /// Retry delay given for an upstream that is gone, leaving or suspect.
 const UPSTREAM_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -360,6 +361,10 @@
         let slot = state.offer.slot;
         let signature = state.signature();
         let on_turn = state.on_turn;
+        let run_use = self.run_use(now, report);
+        if run_use == RunUse::Concurrency {
+            self.learn_server_speed(now, report);
+        }
         self.note_work_end(now, report, out);
         // A server may turn a request away without the headers of its other answers, which says
         // nothing about its limit.
@@ -397,12 +402,13 @@
         self.note_if_idle(slot, out);
         let mut commands = Vec::new();
         if let Some(upstream) = self.upstreams.get_mut(&slot) {
-            // An end without a reply, such as a reset connection, says nothing about the duration
-            // of work.
-            if report.end == WorkEnd::Replied {
-                upstream.gate.finished(now, work, &mut commands);
-            } else {
+            if run_use == RunUse::RunTime {
+                upstream.gate.exclude_run(now, work);
+            }
+            if run_use == RunUse::None {
                 upstream.gate.released(now, work, &mut commands);
+            } else {
+                upstream.gate.finished(now, work, &mut commands);
             }
         }
         self.note_queue_events(now, slot, out);
@@ -418,6 +424,13 @@
                 closed.push(*slot);
             }
             upstream.gate.tick(now, &mut commands);
+            if let Some(change) = upstream.gate.take_limit_change() {
+                out.push(NodeCommand::Note(NodeNote::ConcurrencyLimitChanged {
+                    id: upstream_id(self.own.instance, *slot),
+                    service: upstream.announced.service.clone(),
+                    change,
+                }));
+            }
         }
         // Work queued for a leaving backend server could be forwarded to it seconds after its
         // departure was acknowledged. When the gate closes, queued work is refused as not run, so
--- a/crates/engine/src/gates.rs
+++ b/crates/engine/src/gates.rs
@@ -44,7 +44,8 @@
             .slots(settings.slots)
             .queue(self.settings.overload.queue)
             .first_service_time(settings.first_service_time)
-            .warm_up(settings.warm_up.min(left));
+            .warm_up(settings.warm_up.min(left))
+            .limit_concurrency(self.limits_concurrency());
         Box::new(gate.build())
     }
 
@@ -70,6 +71,18 @@
         };
         let mut gate = self.new_gate(now, &upstream.announced);
         gate.set_warm_up(upstream.gate.warm_up());
+        let by_deadline = self.queues_by_deadline();
+        if let Some(upstream) = self.upstreams.get_mut(&slot) {
+            let learned = upstream.gate.take_learned().or(upstream.learned.take());
+            if by_deadline && let Some(learned) = learned {
+                gate.put_learned(now, learned);
+            } else {
+                upstream.learned = learned;
+            }
+        }
+        let Some(upstream) = self.upstreams.get(&slot) else {
+            return;
+        };
         for work in upstream.gate.running_work() {
             if let Some(state) = self.works.get(&work) {
                 gate.adopt_running(work, self.class_of(now, state), state.started);
@@ -78,7 +91,6 @@
         if upstream.gate.is_closed() {
             gate.close();
         }
-        let by_deadline = self.queues_by_deadline();
         let Some(upstream) = self.upstreams.get_mut(&slot) else {
             return;
         };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -60,6 +60,7 @@
 mod repeats;
 mod request;
 mod server_notices;
+mod server_speed;
 mod settings;
 mod status;
 
@@ -77,5 +78,6 @@
 pub use note::{NodeNote, QueueStep, RequestSummary, WaitEnd};
 pub use repeat_loans::RepeatLoanMessage;
 pub use repeats::RepeatBudgetView;
+pub use server_speed::ServerSpeedStatus;
 pub use settings::{EngineSettings, LEAVE_SERVING};
 pub use status::{MemberStatus, NodeStatus, ServiceStatus, UpstreamStatus};
--- a/crates/engine/src/local_upstream.rs
+++ b/crates/engine/src/local_upstream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sycamorelink_limits::{AdmissionGate, RepeatBooks};
+use sycamorelink_limits::{AdmissionGate, LearnedRuns, RepeatBooks, ServerSpeed};
 use sycamorelink_policy::UpstreamBreaker;
 
 use crate::event::{LifeId, UpstreamAnnouncement};
@@ -21,6 +21,10 @@
     pub(crate) gate: Box<dyn AdmissionGate>,
     /// Whether the gate is a deadline gate.
     pub(crate) queues_by_deadline: bool,
+    /// What a former deadline gate has learned, while the gate is a slot gate.
+    pub(crate) learned: Option<LearnedRuns>,
+    /// Run times of this incarnation relative to those of its service.
+    pub(crate) speed: ServerSpeed,
     pub(crate) breaker: UpstreamBreaker,
     /// Budget of repeats that the server may be given; `None` before the first repeat.
     pub(crate) repeats: Option<RepeatBooks>,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -10,7 +10,8 @@
 use sycamorelink_guard::{GuardIdentity, GuardNode};
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
-    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ShareMember, ShareNode, WorkId,
+    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ServiceTimes, ShareMember, ShareNode,
+    WorkId,
 };
 use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
@@ -96,6 +97,8 @@
     pub(crate) leaving_records: LeavingRecords,
     pub(crate) limit_records: LimitRecords,
     pub(crate) capacity: CapacityExchange,
+    /// Run times of the services by kind, for the speed of the local backend servers.
+    pub(crate) service_times: BTreeMap<ServiceName, ServiceTimes>,
     pub(crate) loans: LoanState,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
@@ -163,8 +166,7 @@
     pub(crate) recalled: bool,
     /// Time of the latest event.
     pub(crate) now: Duration,
-    initial_seeds: Vec<SocketAddr>,
-    seeded: bool,
+    initial_seeds: Option<Vec<SocketAddr>>,
 }
 
 impl NodeEngine {
@@ -215,6 +217,7 @@
             leaving_records,
             limit_records: LimitRecords::default(),
             capacity,
+            service_times: BTreeMap::new(),
             loans,
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
@@ -261,15 +264,14 @@
             departed: false,
             recalled: false,
             now: Duration::ZERO,
-            initial_seeds: Vec::new(),
-            seeded: false,
+            initial_seeds: Some(Vec::new()),
         }
     }
 
     /// Sets the gossip addresses of other nodes through which this node joins the fleet.
     #[must_use]
     pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
-        self.initial_seeds = seeds;
+        self.initial_seeds = Some(seeds);
         self
     }
 
@@ -384,9 +386,7 @@
     }
 
     fn on_tick(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
-        if !self.seeded {
-            self.seeded = true;
-            let seeds = std::mem::take(&mut self.initial_seeds);
+        if let Some(seeds) = self.initial_seeds.take() {
             // Under a fleet contract the seeds come from a directory. If an empty list counted as
             // joined, the node would receive the whole membership only slowly.
             if !seeds.is_empty() || !self.uses_fleet_contract() {
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -9,7 +9,7 @@
     UpstreamId,
 };
 use sycamorelink_guard::GuardNote;
-use sycamorelink_limits::{QueuePlace, WaitReason};
+use sycamorelink_limits::{LimitChange, QueuePlace, WaitReason};
 use sycamorelink_policy::{
     CapacityError, DeclineCounts, ExpectedTime, LoadHint, PoolFinding, SampleKind, UpstreamView,
 };
@@ -412,6 +412,15 @@
         /// Time since it first reported a limit.
         limited_for: Duration,
     },
+    /// The learned concurrency limit of a local backend server changed.
+    ConcurrencyLimitChanged {
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// The change, and what it was decided from.
+        change: LimitChange,
+    },
     /// Work was refused at a backend server that limits the requests that it gets.
     ServerLimitHeld {
         /// Service of the upstream.
--- a/crates/engine/tests/session/capacity.rs
+++ b/crates/engine/tests/session/capacity.rs
@@ -107,6 +107,7 @@
         expected_wait_ms: 0,
         mean_run_ms: 20,
         failing: 0,
+        relative_run: 0,
         repeats: 0,
         age_ms: 0,
     }
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -16,4 +16,5 @@
 mod repeat_loans;
 mod scenarios;
 mod server_limit;
+mod server_speed;
 mod world;
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -26,7 +26,7 @@
     WorkEnd, WorkOffer, WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
-use sycamorelink_limits::{OverloadSettings, WorkId};
+use sycamorelink_limits::{LimitChange, OverloadSettings, WorkId};
 use sycamorelink_policy::{PolicyMechanism, SampleKind, UpstreamPhase};
 use sycamorelink_roster::MemberFacts;
 
@@ -147,6 +147,8 @@
     pub capacity_bytes: BTreeMap<NodeId, usize>,
     /// Events about invalid capacity reports, with the upstream that each names.
     pub invalid_reports: Vec<UpstreamId>,
+    /// Changes of the learned concurrency limits.
+    pub limit_changes: Vec<(UpstreamId, LimitChange)>,
     /// Forecasts that refused requests.
     pub forecasts: BTreeMap<RequestId, RefusedForecast>,
     /// Number of requests for the fleet contract as JSON.
@@ -336,6 +338,7 @@
             downlinks_busy_until: BTreeMap::new(),
             capacity_bytes: BTreeMap::new(),
             invalid_reports: Vec::new(),
+            limit_changes: Vec::new(),
             forecasts: BTreeMap::new(),
             json_pulls: 0,
             pulls: BTreeMap::new(),
@@ -655,6 +658,9 @@
                 let number: u128 = request.parse().expect("labels are numbers");
                 self.releases.entry(RequestId(number)).or_insert(self.now);
             }
+            NodeCommand::Note(NodeNote::ConcurrencyLimitChanged { id, change, .. }) => {
+                self.limit_changes.push((id, change));
+            }
             NodeCommand::Note(NodeNote::CapacityReportInvalid { id, .. }) => {
                 self.invalid_reports.push(id);
             }
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -33,7 +33,7 @@
     CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
     LOAN_DURATION, LearnedRuns, LimitCause, LimitChange, LoanAsk, LoanAskHistory, LoanCandidate,
     OverloadSettings, QueueCount, QueueEntry, QueueEvent, QueuePlace, ReleasePace, RepeatBooks,
-    RepeatOrigin, RunEnd, WaitEntry, WaitReason, WaitTerms,
+    RepeatOrigin, RunEnd, ServerSpeed, ServiceTimes, WaitEntry, WaitReason, WaitTerms,
 };
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
--- a/crates/limits/src/overload/concurrency.rs
+++ b/crates/limits/src/overload/concurrency.rs
@@ -43,6 +43,9 @@
 const MIN_PROBE_INTERVAL: Duration = Duration::from_secs(15);
 /// Longest interval between two probes. They then take 0.3% of the capacity.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_mins(8);
+/// Minimum share of the time since the last decision in which work waited, for a probe. Below one, so
+/// that a queue which is empty for moments does not prevent probes.
+const MIN_WAITING_SHARE: f64 = 0.75;
 /// The inverse of the share of the slots that a probe closes.
 const PROBE_DIVISOR: u32 = 4;
 /// Largest absolute logarithm of a ratio. Bounds the influence of the rare runs that take seven
@@ -160,8 +163,10 @@
     trial_failed: bool,
     /// Times of the probes; `None` without probes.
     probe: Option<ProbeTimes>,
-    /// Whether no probe starts at the next decision.
-    probes_held: bool,
+    /// Since when work waits for a slot.
+    waiting_since: Option<Duration>,
+    /// Earlier time since the last decision in which work waited.
+    waited: Duration,
     /// The latest change, until it is taken.
     change: Option<LimitChange>,
 }
@@ -359,7 +364,8 @@
             reached_limit: false,
             trial_failed: false,
             probe: None,
-            probes_held: false,
+            waiting_since: Some(now),
+            waited: Duration::ZERO,
             change: None,
         }
     }
@@ -397,9 +403,23 @@
         self.reached_limit = false;
     }
 
-    /// Prevents a probe at the next decision. Has no effect without [`Self::with_probes`].
-    pub const fn hold_probes(&mut self) {
-        self.probes_held = true;
+    /// Sets whether work waits for a slot; assumed before the first call. A probe starts only if work
+    /// waited for most of the time since the decision before.
+    pub fn set_waiting(&mut self, now: Duration, waits: bool) {
+        if let Some(since) = self.waiting_since.filter(|_| !waits) {
+            self.waited += now.saturating_sub(since);
+        }
+        self.waiting_since = waits.then_some(self.waiting_since.unwrap_or(now));
+    }
+
+    /// Returns whether work waited for most of the time since the last decision.
+    fn has_waited(&self, now: Duration) -> bool {
+        let since = self.waiting_since.unwrap_or(now);
+        let waited = self.waited + now.saturating_sub(since);
+        waited
+            >= now
+                .saturating_sub(self.decided_at)
+                .mul_f64(MIN_WAITING_SHARE)
     }
 
     /// Removes and returns the latest change of the limit.
@@ -545,7 +565,8 @@
         self.decided_use = self.term_seconds[0];
         self.trial_samples = 0;
         self.trial_time = Duration::ZERO;
-        self.probes_held = false;
+        self.waiting_since = self.waiting_since.map(|_| now);
+        self.waited = Duration::ZERO;
         // Runs that continue occupy the limit without another start.
         self.reached_limit = self.runs.len() >= self.limit as usize;
     }
@@ -577,7 +598,8 @@
             }
             return LimitCause::Trial;
         }
-        let probe = self.probe.as_mut().filter(|_| !self.probes_held);
+        let has_waited = self.has_waited(now);
+        let probe = self.probe.as_mut().filter(|_| has_waited);
         let Some(probe) = probe.filter(|probe| now >= probe.next) else {
             return LimitCause::Trial;
         };
--- a/crates/limits/src/overload/gate_limit.rs
+++ b/crates/limits/src/overload/gate_limit.rs
@@ -40,12 +40,10 @@
     }
 
     /// Decides on the limit. A probe takes a quarter of the slots for five seconds, so it starts only
-    /// if work has waited since the last decision. Otherwise the concurrency varies without it.
+    /// if work waited for most of the time since the last decision. Otherwise the concurrency varies without it.
     pub(super) fn tick_limit(&mut self, now: Duration) {
         if let Some(limit) = &mut self.concurrency {
-            if self.queue.is_empty() {
-                limit.hold_probes();
-            }
+            limit.set_waiting(now, !self.queue.is_empty());
             limit.tick(now);
         }
     }
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -27,6 +27,7 @@
 mod returns;
 mod run_cost;
 mod settings;
+mod speed;
 
 pub use caller_queue::{CallerQueue, JoinDecision, WaitEntry, WaitReason, WaitTerms};
 pub use concurrency::{ConcurrencyLimit, LimitCause, LimitChange, RunEnd};
@@ -44,3 +45,4 @@
 pub use returns::{CallerNeed, ReturnAdvice, ReturnPacer, ServiceOutlook};
 pub use run_cost::RunCosts;
 pub use settings::OverloadSettings;
+pub use speed::{ServerSpeed, ServiceTimes};
--- a/crates/limits/tests/limited_gate.rs
+++ b/crates/limits/tests/limited_gate.rs
@@ -248,7 +248,7 @@
     }
 }
 
-// Guards against probes that cost a server without growth much of its capacity (0.8% over the first ten
+// Guards against probes that cost a server without growth much of its capacity (1.0% to 1.2% over the first ten
 // minutes of an overload, less later), or
 // that make work late which was accepted as in time.
 #[test]
--- a/crates/policy/src/capacity/estimate.rs
+++ b/crates/policy/src/capacity/estimate.rs
@@ -70,6 +70,8 @@
     pub(crate) wait: f64,
     /// Expected run time, above zero.
     pub(crate) run: f64,
+    /// Run time of the service, over the kinds of work of all its upstreams.
+    pub(super) usual_run: f64,
     /// Free slots.
     pub(crate) free: f64,
     /// Slots in use.
@@ -85,7 +87,11 @@
 }
 
 impl LoadEstimate {
-    pub(super) fn of_record(record: &CapacityRecord) -> Self {
+    /// Returns the load that a record reports. The run time is that of the service times the
+    /// relative run time of the upstream: its own mean depends on the kinds of work that it ran.
+    pub(super) fn of_record(record: &CapacityRecord, usual_run: f64) -> Self {
+        let factor = record.relative_run_factor();
+        let run = factor.map_or(seconds(record.mean_run_ms), |factor| factor * usual_run);
         let limit = f64::from(record.limit.max(1));
         let in_use = f64::from(record.in_use);
         let free = if record.queued == 0 {
@@ -95,7 +101,8 @@
         };
         Self {
             wait: seconds(record.expected_wait_ms),
-            run: seconds(record.mean_run_ms).max(MIN_RUN_SECONDS),
+            run: run.max(MIN_RUN_SECONDS),
+            usual_run,
             free,
             in_use,
             limit,
@@ -108,10 +115,10 @@
     /// Returns the load that a hint reports. An earlier record of the upstream is adjusted by the
     /// change since then, because its wait is that of an in-time request, while a hint counts all
     /// queued work.
-    pub(super) fn of_hint(hint: LoadHint, earlier: Option<&Self>, mean_run: f64) -> Self {
+    pub(super) fn of_hint(hint: LoadHint, earlier: Option<&Self>, mean: &Self) -> Self {
         let slots = f64::from(hint.slots.max(1));
         let limit = earlier.map_or(slots, |earlier| earlier.limit);
-        let run = earlier.map_or(mean_run, |earlier| earlier.run);
+        let run = earlier.map_or(mean.run, |earlier| earlier.run);
         let (in_use, queued) = (f64::from(hint.in_use), f64::from(hint.queued));
         let is_full = in_use >= limit || queued > 0.0;
         let wait = match earlier {
@@ -125,6 +132,7 @@
         Self {
             wait,
             run,
+            usual_run: mean.usual_run,
             free: if is_full { 0.0 } else { limit - in_use },
             in_use,
             limit,
@@ -142,6 +150,7 @@
         let mut sum = Self {
             wait: 0.0,
             run: 0.0,
+            usual_run: 0.0,
             free: 0.0,
             in_use: 0.0,
             limit: 0.0,
@@ -162,6 +171,7 @@
         Self {
             wait: self.wait * own + other.wait * others,
             run: self.run * own + other.run * others,
+            usual_run: self.usual_run * own + other.usual_run * others,
             free: self.free * own + other.free * others,
             in_use: self.in_use * own + other.in_use * others,
             limit: self.limit * own + other.limit * others,
@@ -201,6 +211,13 @@
         self
     }
 
+    /// Raises the run time of an upstream that fails requests to at least the mean, since its
+    /// failures may be fast.
+    pub(crate) const fn failing(mut self, mean: &Self) -> Self {
+        self.run = self.run.max(mean.run);
+        self
+    }
+
     /// Returns the expected time to an answer in seconds.
     pub(crate) fn reply_time(&self) -> f64 {
         self.wait + self.run
--- a/crates/policy/src/capacity/record.rs
+++ b/crates/policy/src/capacity/record.rs
@@ -10,6 +10,9 @@
 /// Longest wait, run time and age that a record may name, in milliseconds.
 const MAX_MILLIS: u32 = 60_000;
 
+/// Value of [`CapacityRecord::relative_run`] of a server that is as fast as its service.
+const USUAL_RUN: f64 = 64.0;
+
 /// Load and free capacity of one upstream, measured by the node beside it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CapacityRecord {
@@ -31,6 +34,8 @@
     pub mean_run_ms: u32,
     /// Chance that the upstream fails part of its requests, in 255ths.
     pub failing: u8,
+    /// Run time relative to that of the service for the same kinds of work, in 64ths; 0 if unknown.
+    pub relative_run: u8,
     /// Whole repeats left in the upstream's part of the bound on repeats.
     pub repeats: u16,
     /// Time since the measurement in milliseconds.
@@ -113,6 +118,23 @@
         f64::from(self.failing) / f64::from(u8::MAX)
     }
 
+    /// Returns the run time relative to that of the service; `None` if unknown.
+    #[must_use]
+    pub fn relative_run_factor(&self) -> Option<f64> {
+        (self.relative_run > 0).then(|| f64::from(self.relative_run) / USUAL_RUN)
+    }
+
+    /// Returns the value of [`Self::relative_run`] for a factor, at least 1.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped to a range that fits"
+    )]
+    pub fn encode_relative_run(factor: f64) -> u8 {
+        (factor * USUAL_RUN).round().clamp(1.0, f64::from(u8::MAX)) as u8
+    }
+
     /// Returns the number of bytes of the record in a message between nodes.
     #[must_use]
     pub fn encoded_size(&self) -> usize {
@@ -129,8 +151,8 @@
             u64::from(self.repeats),
             u64::from(self.age_ms),
         ];
-        let failing = 1;
-        integers.into_iter().map(integer_size).sum::<usize>() + failing
+        let single_bytes = 2;
+        integers.into_iter().map(integer_size).sum::<usize>() + single_bytes
     }
 }
 
--- a/crates/policy/src/capacity/table.rs
+++ b/crates/policy/src/capacity/table.rs
@@ -169,11 +169,16 @@
     /// without a valid record.
     pub(crate) fn mean_load(&self, now: Duration) -> Option<LoadEstimate> {
         let stored = self.records.values();
-        let weighted = stored.filter_map(|stored| {
-            let age = stored.age(now)?;
-            Some((LoadEstimate::of_record(&stored.record), decay(age)))
-        });
-        LoadEstimate::mean(weighted)
+        let valid = stored.filter_map(|stored| Some((&stored.record, decay(stored.age(now)?))));
+        let (sum, total) = valid
+            .clone()
+            .fold((0.0, 0.0), |(sum, total), (record, weight)| {
+                (sum + usual_run_of(record) * weight, total + weight)
+            });
+        let usual_run = sum / f64::max(total, f64::MIN_POSITIVE);
+        LoadEstimate::mean(
+            valid.map(|(record, weight)| (LoadEstimate::of_record(record, usual_run), weight)),
+        )
     }
 
     /// Returns the estimated load of an upstream: the record or the newer hint, weighed against the
@@ -188,10 +193,10 @@
         let stored = self.records.get(&id);
         let stored = stored.filter(|stored| stored.age(now).is_some());
         let hint = told.filter(|(at, _)| stored.is_none_or(|stored| *at > stored.measured_at()));
-        let reported = stored.map(|stored| LoadEstimate::of_record(&stored.record));
+        let reported = stored.map(|stored| LoadEstimate::of_record(&stored.record, mean.usual_run));
         let (base, at, age) = match (reported, hint) {
             (reported, Some((at, hint))) => {
-                let base = LoadEstimate::of_hint(hint, reported.as_ref(), mean.run);
+                let base = LoadEstimate::of_hint(hint, reported.as_ref(), mean);
                 (base, at, now.saturating_sub(at))
             }
             (Some(base), None) => {
@@ -227,6 +232,13 @@
     })
 }
 
+/// Returns the mean run time in seconds that an upstream of usual speed would have for the work of
+/// this one.
+fn usual_run_of(record: &CapacityRecord) -> f64 {
+    let seconds = f64::from(record.mean_run_ms) / 1000.0;
+    seconds / record.relative_run_factor().unwrap_or(1.0)
+}
+
 /// Returns the weight of information of this age.
 fn decay(age: Duration) -> f64 {
     (-age.as_secs_f64() / DECAY_SECONDS).exp()
--- a/crates/policy/src/soonest.rs
+++ b/crates/policy/src/soonest.rs
@@ -71,7 +71,7 @@
             .max(MIN_OBJECTIVE_SECONDS);
         let mut candidates = Vec::new();
         for index in self.pickable_sample(exclude) {
-            let load = self.load_at(now, table, &mean, index);
+            let mut load = self.load_at(now, table, &mean, index);
             let record = &self.records[index];
             let distance = if self.is_far(record) { far_cost } else { 0.0 };
             let repeats = if terms.is_repeat && load.repeats_spent {
@@ -81,6 +81,9 @@
             };
             let reported = table.failing_chance(now, record.id);
             let faults = self.reported_fault_cost(now, record, reported);
+            if faults > COST_JITTER {
+                load = load.failing(&mean);
+            }
             let standing_cost = faults + distance + repeats;
             let jitter = self.random.random::<f64>() * COST_JITTER;
             candidates.push(SoonestCandidate {
--- a/crates/policy/tests/capacity.rs
+++ b/crates/policy/tests/capacity.rs
@@ -36,6 +36,7 @@
         expected_wait_ms: wait_ms,
         mean_run_ms: 900,
         failing: 0,
+        relative_run: 0,
         repeats: 1,
         age_ms: 0,
     }
@@ -517,3 +518,124 @@
     let all: Vec<_> = (0..SERVERS).map(upstream).collect();
     assert_eq!(fleet.pick(NODES - 1, &all), None);
 }
+
+/// Returns how often each of the first servers was picked, in `count` picks at one node.
+fn count_picks(fleet: &mut CapacityFleet, picks: u32) -> Vec<f64> {
+    let mut counts = vec![0.0; SERVERS];
+    for _ in 0..picks {
+        let picked = fleet.pick(NODES - 1, &[]).expect("a candidate");
+        let index = (0..SERVERS).find(|server| upstream(*server) == picked);
+        counts[index.expect("a known server")] += 1.0;
+    }
+    counts
+}
+
+/// Returns whether a server belongs to the first of two groups, of which each failure domain has
+/// equally many.
+fn is_first(server: usize) -> bool {
+    (server / 4).is_multiple_of(2)
+}
+
+/// Returns the share of the picks that went to the first group of servers.
+fn share_of_first(fleet: &mut CapacityFleet) -> f64 {
+    let counts = count_picks(fleet, 2_000);
+    let first = (0..SERVERS).filter(|server| is_first(*server));
+    first.map(|server| counts[server]).sum::<f64>() / counts.iter().sum::<f64>()
+}
+
+// Guards against a server that counts as slow because it happened to run the kinds of work that
+// take long: all servers are equally fast, and half of them ran 1.1 s kinds only.
+#[test]
+fn servers_with_other_kinds_of_work_compare_equally() {
+    let record = |server: usize, relative_run: u8| CapacityRecord {
+        in_use: SLOTS - 2,
+        queued: 0,
+        mean_run_ms: if is_first(server) { 1_100 } else { 700 },
+        relative_run,
+        ..waiting_record(server, 0)
+    };
+    let mut fleet = informed_fleet(|server| record(server, 64));
+    let share = share_of_first(&mut fleet);
+    assert!(
+        (0.45..0.55).contains(&share),
+        "{share} went to the first group"
+    );
+    let run = expected_time(&fleet, NODES - 1, 0).expect("known").run;
+    assert_eq!(run, Duration::from_millis(900), "the mean of the service");
+    // Without relative run times, the mix decides.
+    let mut fleet = informed_fleet(|server| record(server, 0));
+    let share = share_of_first(&mut fleet);
+    assert!(share < 0.4, "{share} went to the first group");
+}
+
+// Guards against a slow server that gets as much work as a fast one because it ran the kinds of work
+// that are short: its mean run time is the same.
+#[test]
+fn slow_server_with_short_work_counts_as_slow() {
+    let mut fleet = informed_fleet(|server| CapacityRecord {
+        in_use: SLOTS - 2,
+        queued: 0,
+        relative_run: if is_first(server) { 85 } else { 43 },
+        ..waiting_record(server, 0)
+    });
+    let share = share_of_first(&mut fleet);
+    assert!(share < 0.4, "{share} went to slow servers");
+}
+
+// Guards against slow servers that hold requests which faster ones would answer earlier, and against
+// fast servers that get all of the work: half of the servers take twice as long. Below the capacity
+// the fast ones get somewhat more than in proportion, because a reply there is earlier.
+#[test]
+fn servers_get_work_in_proportion_to_their_speed() {
+    for (load, highest) in [(0.8, 2.6), (1.5, 2.2)] {
+        let mut fleet = CapacityFleet::new(NODES, SERVERS);
+        for (index, server) in fleet.servers.iter_mut().enumerate() {
+            server.relative_run = if is_first(index) { 43 } else { 85 };
+        }
+        // The mean of the speeds 64/43 and 64/85 is 1.12.
+        let rate = fleet.capacity() * 1.12 * load;
+        fleet.run_for(FILL_TIME, rate);
+        for server in &mut fleet.servers {
+            server.served = 0;
+        }
+        fleet.run_for(Duration::from_secs(8), rate);
+        let served = |first: bool| -> u32 {
+            let servers = fleet.servers.iter().enumerate();
+            let group = servers.filter(|(index, _)| is_first(*index) == first);
+            group.map(|(_, server)| server.served).sum()
+        };
+        let ratio = f64::from(served(true)) / f64::from(served(false));
+        println!("load {load}: fast servers served {ratio:.2} times as much");
+        assert!((1.8..highest).contains(&ratio), "load {load}: {ratio}");
+    }
+}
+
+// Guards against a failing server that attracts work because its failures are fast: with a reported
+// run time of 20 ms it gets no more than with the usual one.
+#[test]
+fn fast_failures_attract_no_work() {
+    let fleet_with = |run_ms: u32, relative_run: u8| {
+        informed_fleet(|server| {
+            if server == 3 {
+                CapacityRecord {
+                    in_use: 3,
+                    queued: 0,
+                    failing: 230,
+                    mean_run_ms: run_ms,
+                    relative_run,
+                    ..waiting_record(server, 0)
+                }
+            } else {
+                CapacityRecord {
+                    relative_run: 64,
+                    ..waiting_record(server, 2_000)
+                }
+            }
+        })
+    };
+    for (run_ms, relative_run) in [(900, 64), (20, 1), (20, 0)] {
+        let mut fleet = fleet_with(run_ms, relative_run);
+        let counts = count_picks(&mut fleet, 500);
+        assert!(counts[3] < 1.0, "run time {run_ms}ms: {}", counts[3]);
+    }
+}
--- a/crates/policy/tests/common/capacity_fleet.rs
+++ b/crates/policy/tests/common/capacity_fleet.rs
@@ -42,15 +42,26 @@
 pub struct SimServer {
     running: u16,
     queue: VecDeque<SimRequest>,
+    /// Run times relative to [`MEAN_RUN`] in 64ths, as reported; 0 for one, not reported.
+    pub relative_run: u8,
+    /// Number of requests that the server has answered.
+    pub served: u32,
 }
 
 impl SimServer {
+    fn mean_run(&self) -> Duration {
+        match self.relative_run {
+            0 => MEAN_RUN,
+            factor => MEAN_RUN * u32::from(factor) / 64,
+        }
+    }
+
     fn expected_wait(&self) -> Duration {
         if self.running < SLOTS {
             return Duration::ZERO;
         }
         let runs = f64::from(SLOTS) * 0.5 + count(self.queue.len());
-        MEAN_RUN.mul_f64(runs / f64::from(SLOTS))
+        self.mean_run().mul_f64(runs / f64::from(SLOTS))
     }
 
     fn hint(&self) -> LoadHint {
@@ -267,7 +278,7 @@
             self.start(index, request);
             return true;
         }
-        if now + server.expected_wait() + MEAN_RUN <= request.deadline {
+        if now + server.expected_wait() + server.mean_run() <= request.deadline {
             server.queue.push_back(request);
             return true;
         }
@@ -290,7 +301,9 @@
 
     fn start(&mut self, index: usize, request: SimRequest) {
         self.servers[index].running += 1;
-        let time = MEAN_RUN.mul_f64(self.random.random_range(0.78..1.22));
+        let time = self.servers[index]
+            .mean_run()
+            .mul_f64(self.random.random_range(0.78..1.22));
         self.next_end += 1;
         let key = (self.now + time, self.next_end);
         self.ends.insert(key, (index, request));
@@ -303,10 +316,11 @@
             }
             let (index, request) = entry.remove();
             self.servers[index].running -= 1;
+            self.servers[index].served += 1;
             self.counts.served += 1;
             self.answer(index, request, SampleKind::Served);
             while let Some(next) = self.servers[index].queue.pop_front() {
-                if self.now + MEAN_RUN <= next.deadline {
+                if self.now + self.servers[index].mean_run() <= next.deadline {
                     self.start(index, next);
                     break;
                 }
@@ -333,8 +347,9 @@
             limit: SLOTS,
             queued: hint.queued,
             expected_wait_ms: millis(server.expected_wait()),
-            mean_run_ms: millis(MEAN_RUN),
+            mean_run_ms: millis(server.mean_run()),
             failing: 0,
+            relative_run: server.relative_run,
             repeats: 1,
             age_ms: 0,
         }
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -158,6 +158,7 @@
     3016 WorkReleased Info "work-released" "a backend server takes all work again";
     3017 RateLimitNamed Info "rate-limit-named" "a backend server limits the requests that it gets";
     3018 RateLimitEnded Info "rate-limit-ended" "a backend server no longer limits the requests that it gets";
+    3019 ConcurrencyLimitChanged Info "concurrency-limit-changed" "the learned limit on concurrent runs of a backend server changed";
 
     4001 KeyJoined Info "key-joined" "a resend of a running key waits for the first send";
     4002 KeyReplayed Debug "key-replayed" "a resend got the reply of the first send";
--- a/crates/telemetry/src/event/entries/detection.rs
+++ b/crates/telemetry/src/event/entries/detection.rs
@@ -148,4 +148,17 @@
                 second. `duration` is the time since it first named one.",
         action: "Nothing.",
     },
+    EventEntry {
+        code: EventCode::ConcurrencyLimitChanged,
+        reserved: false,
+        meaning: "The limit on the concurrent runs of the backend server beside this daemon is now \
+                `limit`. `reason` has the limit before and the cause (decrease: fewer concurrent \
+                runs yield more replies per second; trial: one more or one less is tried; probe: a \
+                quarter less is tried, since all slots were in use and work waited; trial-end: the \
+                trial or probe ended), then the mean concurrency, the mean run time and the number \
+                of runs since the decision before, and the factor of replies per second that the \
+                new limit is expected to yield, with the standard error of its logarithm.",
+        action: "Nothing. A limit that stays far below the slots means that the server becomes \
+                slower under load: look for what its runs compete for, or lower its slots.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -212,6 +212,10 @@
         "Waiting requests that were sent to a backend server again, by the reason of the wait.";
     CallersExpired Counter "callers_expired" "requests" ["service" "end"]
         "Requests that ended while they waited: expired, displaced, caller-gone, draining or switched-off.";
+    ConcurrencyLimit Gauge "concurrency_limit" "runs" ["service"]
+        "Concurrent runs that the backend servers of this instance are given at most. Only where the limit is learned.";
+    MeanRunTime Gauge "mean_run_time" "milliseconds" ["service"]
+        "Mean run time at the backend servers of this instance. Only where the limit is learned.";
 }
 
 /// Metrics that no code sends yet.
