--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -62,6 +62,7 @@
 mod request;
 mod returns;
 mod server_notices;
+mod server_speed;
 mod settings;
 mod status;
 
@@ -80,5 +81,6 @@
 pub use overload_status::{OverloadStatus, QueueStatus, WaitStatus};
 pub use repeat_loans::RepeatLoanMessage;
 pub use repeats::RepeatBudgetView;
+pub use server_speed::ServerSpeedStatus;
 pub use settings::{EngineSettings, LEAVE_SERVING};
 pub use status::{MemberStatus, NodeStatus, ServiceStatus, UpstreamStatus};
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -11,7 +11,7 @@
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
     CrashRegistry, CustomerIndex, HolderCount, RefusalWindow, RetryBudget, ReturnPacer,
-    ShareMember, ShareNode, WorkId,
+    ServiceTimes, ShareMember, ShareNode, WorkId,
 };
 use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
@@ -98,6 +98,8 @@
     pub(crate) capacity: CapacityExchange,
     /// Sources of retry delays, by service. Only services of the contract have one.
     pub(crate) return_pacers: BTreeMap<ServiceName, ReturnPacer>,
+    /// Run times of the services by kind, for the speed of the local backend servers.
+    pub(crate) service_times: BTreeMap<ServiceName, ServiceTimes>,
     pub(crate) loans: LoanState,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
@@ -220,6 +222,7 @@
             limit_records: LimitRecords::default(),
             capacity,
             return_pacers: BTreeMap::new(),
+            service_times: BTreeMap::new(),
             loans,
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -31,10 +31,10 @@
 pub use holder_count::HolderCount;
 pub use overload::{
     CallerNeed, CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
-    LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, OverloadSettings, QueueCount,
-    QueueEntry, QueueEvent, QueuePlace, RefusalSummary, RefusalWindow, ReleasePace, RepeatBooks,
-    RepeatOrigin, ReturnAdvice, ReturnPacer, RunEnd, ServiceOutlook, WaitEntry, WaitReason,
-    WaitTerms,
+    LOAN_DURATION, LearnedRuns, LimitCause, LimitChange, LoanAsk, LoanAskHistory, LoanCandidate,
+    OverloadSettings, QueueCount, QueueEntry, QueueEvent, QueuePlace, RefusalSummary,
+    RefusalWindow, ReleasePace, RepeatBooks, RepeatOrigin, ReturnAdvice, ReturnPacer, RunEnd,
+    ServerSpeed, ServiceOutlook, ServiceTimes, WaitEntry, WaitReason, WaitTerms,
 };
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -18,6 +18,7 @@
 mod gate;
 mod gate_admission;
 mod gate_builder;
+mod gate_limit;
 mod inflow;
 pub mod loans;
 mod queue;
@@ -27,12 +28,14 @@
 mod returns;
 mod run_cost;
 mod settings;
+mod speed;
 
 pub use caller_queue::{CallerQueue, JoinDecision, WaitEntry, WaitReason, WaitTerms};
-pub use concurrency::{ConcurrencyLimit, RunEnd};
+pub use concurrency::{ConcurrencyLimit, LimitCause, LimitChange, RunEnd};
 pub use fair::{FairQueue, QueueEntry};
 pub use gate::DeadlineGate;
 pub use gate_builder::DeadlineGateBuilder;
+pub use gate_limit::LearnedRuns;
 pub use loans::{
     GrantError, LOAN_DURATION, LoanAsk, LoanAskHistory, LoanCandidate, RepeatBooks, RepeatOrigin,
     choose_lenders,
@@ -44,3 +47,4 @@
 pub use returns::{CallerNeed, ReturnAdvice, ReturnPacer, ServiceOutlook};
 pub use run_cost::RunCosts;
 pub use settings::OverloadSettings;
+pub use speed::{ServerSpeed, ServiceTimes};
--- a/crates/policy/src/soonest.rs
+++ b/crates/policy/src/soonest.rs
@@ -100,7 +100,7 @@
         let objective = terms.objective_left.max(MIN_OBJECTIVE).as_secs_f64();
         let mut candidates = Vec::new();
         for index in self.pickable_sample(exclude) {
-            let load = self.load_at(now, table, &mean, index);
+            let mut load = self.load_at(now, table, &mean, index);
             let record = &self.records[index];
             let is_far = self.is_far(record);
             let distance = if is_far { far_cost } else { 0.0 };
@@ -111,6 +111,9 @@
             };
             let reported = table.failing_chance(now, record.id);
             let faults = self.reported_fault_cost(now, record, reported);
+            if faults > COST_JITTER {
+                load = load.failing(&mean);
+            }
             let standing_cost = faults + distance + repeats;
             let jitter = self.random.random::<f64>() * COST_JITTER;
             candidates.push(SoonestCandidate {
