Share the waiting work of the deadline gate among client accounts

Cause: FairQueue was built but no gate used it, so one account with more requests than the capacity had the requests and calls of others refused.

Change: the trait WaitingQueue separates the gate from its queue. AccountQueue, which wraps FairQueue, is used where fair queueing is on and the contract has client accounts; otherwise DeadlineQueue stays. A contract that gains its first account or loses its last one replaces the gates. Displacement by fairness has its own queue event, its own text in the log line and the counter queue_displaced_by_share, which has only the label of the service. The log line of queued work names the requests ahead in the lane of its account.

The cost ahead alone underestimates the wait of accounts above their share, since newer work of accounts within theirs starts before it. The wait is therefore divided by the share of the slots that the latter leave.

In a session of two nodes (--test session fair_queueing) 40 of 40 requests and 40 of 40 calls of the small account run beside a flood; with fair queueing off 11 of 40 and 7 of 11 do.

--- a/crates/daemon/src/notes/attempts.rs
+++ b/crates/daemon/src/notes/attempts.rs
@@ -115,6 +115,7 @@
             Some(QueueStep::Declined(_)) => MetricName::QueueDeclined,
             Some(QueueStep::Expired) => MetricName::QueueExpired,
             Some(QueueStep::Displaced) => MetricName::QueueDisplaced,
+            Some(QueueStep::DisplacedByShare) => MetricName::QueueDisplacedByShare,
         };
         self.increment(SeriesKey::of(name).service(service));
     }
@@ -126,6 +127,9 @@
         QueueStep::Declined(place) => format!(", not queued {}", place_text(place)),
         QueueStep::Expired => ", deadline lost in the queue".to_owned(),
         QueueStep::Displaced => ", removed from the full queue".to_owned(),
+        QueueStep::DisplacedByShare => {
+            ", removed from the queue because its account is above its share".to_owned()
+        }
     }
 }
 
@@ -135,7 +139,10 @@
         || "work in time takes every slot".to_owned(),
         |wait| format!("expected wait {}ms", wait.as_millis()),
     );
-    format!("behind {} {standing}, {wait}", place.position)
+    let lane = place.in_lane.map_or_else(String::new, |ahead| {
+        format!(", {ahead} ahead in the lane of its account")
+    });
+    format!("behind {} {standing}, {wait}{lane}", place.position)
 }
 
 fn repeat_budget_text(budget: RepeatBudgetView) -> String {
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -203,7 +203,7 @@
         LocalUpstream {
             announced: announced.clone(),
             gate: self.new_gate(now, announced),
-            queues_by_deadline: self.queues_by_deadline(),
+            gate_kind: self.gate_kind(),
             breaker: UpstreamBreaker::new(now)
                 .use_run_ages(self.settings.policy.is_on(PolicyMechanism::OpenRuns)),
             limit: None,
--- a/crates/engine/src/gates.rs
+++ b/crates/engine/src/gates.rs
@@ -1,8 +1,8 @@
 //! Gates of the local backend servers: their kind, their replacement and reports on their queues.
 //!
 //! ```text
-//! contract ─▶ overload control on or off ─▶ another gate: running work keeps its slot
-//!                                                         queued work is refused as not run
+//! contract ─▶ overload control on or off ─┬▶ another gate: running work keeps its slot
+//!          ─▶ first or last account ───────┘                queued work is refused as not run
 //! ```
 
 use std::sync::Arc;
@@ -18,6 +18,7 @@
 use crate::command::NodeCommand;
 use crate::event::UpstreamAnnouncement;
 use crate::executor::upstream_id;
+use crate::local_upstream::GateKind;
 use crate::node::NodeEngine;
 use crate::note::{NodeNote, QueueStep};
 use crate::request::{WorkPhase, WorkState};
@@ -28,6 +29,22 @@
         self.uses_overload_mechanism(PolicyMechanism::DeadlineQueue)
     }
 
+    /// Returns the kind of the gates under the contract in force.
+    ///
+    /// Without client accounts all work has one lane, as in a deployment without fair queueing.
+    pub(crate) fn gate_kind(&self) -> GateKind {
+        if !self.queues_by_deadline() {
+            return GateKind::Slots;
+        }
+        let contract = self.fleet.current.as_ref();
+        let has_accounts = contract.is_some_and(|(_, table)| table.has_accounts());
+        if has_accounts && self.uses_overload_mechanism(PolicyMechanism::FairQueueing) {
+            GateKind::Accounts
+        } else {
+            GateKind::Deadline
+        }
+    }
+
     /// Returns a gate for a backend server that started cold at `now`.
     pub(crate) fn new_gate(
         &self,
@@ -36,27 +53,29 @@
     ) -> Box<dyn AdmissionGate> {
         let mut settings = self.settings.gate.clone();
         settings.slots = u32::from(announced.slots);
-        if !self.queues_by_deadline() {
+        let kind = self.gate_kind();
+        if kind == GateKind::Slots {
             return Box::new(SlotGate::new(settings, now).warm_up_left(now, announced.warm_up));
         }
         let left = announced.warm_up.unwrap_or(settings.warm_up);
         let gate = DeadlineGate::builder(now)
             .slots(settings.slots)
             .queue(self.settings.overload.queue)
+            .share_by_account(kind == GateKind::Accounts)
             .first_service_time(settings.first_service_time)
             .warm_up(settings.warm_up.min(left));
         Box::new(gate.build())
     }
 
     /// Replaces the gates of the local backend servers if a contract switched overload control on or
-    /// off.
+    /// off, gained its first client account or lost its last one.
     ///
     /// Running work keeps its slot, and the warm-up, the rate limit and the closing of a server
     /// continue. Queued work was accepted by other rules, so it is refused and may run elsewhere.
     pub(crate) fn refresh_gates(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
-        let by_deadline = self.queues_by_deadline();
+        let kind = self.gate_kind();
         let outdated = self.upstreams.iter();
-        let outdated = outdated.filter(|(_, upstream)| upstream.queues_by_deadline != by_deadline);
+        let outdated = outdated.filter(|(_, upstream)| upstream.gate_kind != kind);
         let outdated: Vec<u16> = outdated.map(|(slot, _)| *slot).collect();
         for slot in outdated {
             self.replace_gate(now, slot);
@@ -78,7 +97,7 @@
         if upstream.gate.is_closed() {
             gate.close();
         }
-        let by_deadline = self.queues_by_deadline();
+        let kind = self.gate_kind();
         let Some(upstream) = self.upstreams.get_mut(&slot) else {
             return;
         };
@@ -86,15 +105,16 @@
             gate.put_permits(permits);
         }
         upstream.gate = gate;
-        upstream.queues_by_deadline = by_deadline;
+        upstream.gate_kind = kind;
     }
 
     /// Returns the properties of work that its admission depends on.
     ///
-    /// Under a fleet contract all work shares one lane, ordered by priority and deadline. With a
-    /// lane for each client account, the calls made by backend servers, which belong to no account,
-    /// would share one lane among eighty and be refused first, although a run waits for each of
-    /// these calls. Quotas isolate the accounts instead.
+    /// Under a fleet contract all work shares one lane of the slot gate. With a lane for each client
+    /// account, the calls made by backend servers, which belong to no account, would share one lane
+    /// among eighty and be refused first, although a run waits for each of these calls. Quotas
+    /// isolate the accounts instead, and under overload control the account in the terms, which
+    /// calls take over from their runs.
     pub(crate) fn class_of(&self, now: Duration, state: &WorkState) -> WorkClass {
         let lane = if self.uses_fleet_contract() {
             CustomerName::new(FLEET_CUSTOMER)
@@ -156,6 +176,7 @@
                 QueueEvent::BecameLate(work) => (work, None),
                 QueueEvent::Expired(work) => (work, Some(QueueStep::Expired)),
                 QueueEvent::Displaced(work) => (work, Some(QueueStep::Displaced)),
+                QueueEvent::DisplacedByShare(work) => (work, Some(QueueStep::DisplacedByShare)),
             };
             let Some(state) = self.works.get_mut(&work) else {
                 continue;
@@ -218,7 +239,7 @@
     pub fn queue_counts(&self) -> Vec<(UpstreamAnnouncement, QueueCount)> {
         let upstreams = self.upstreams.values();
         upstreams
-            .filter(|upstream| upstream.available && upstream.queues_by_deadline)
+            .filter(|upstream| upstream.available && upstream.gate_kind != GateKind::Slots)
             .map(|upstream| {
                 let count = upstream.gate.queue_count(self.now);
                 (upstream.announced.clone(), count)
--- a/crates/engine/src/local_upstream.rs
+++ b/crates/engine/src/local_upstream.rs
@@ -14,13 +14,23 @@
 /// arrives seconds after the end of its sender, and an incarnation lasts longer than that.
 const MAX_ENDED_LIVES: usize = 8;
 
+/// Kind of the gate in front of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum GateKind {
+    /// A slot gate, without overload control.
+    Slots,
+    /// A deadline gate with one lane for all work.
+    Deadline,
+    /// A deadline gate that shares the waiting work among client accounts.
+    Accounts,
+}
+
 /// State of a backend server beside this node.
 #[derive(Debug)]
 pub(crate) struct LocalUpstream {
     pub(crate) announced: UpstreamAnnouncement,
     pub(crate) gate: Box<dyn AdmissionGate>,
-    /// Whether the gate is a deadline gate.
-    pub(crate) queues_by_deadline: bool,
+    pub(crate) gate_kind: GateKind,
     pub(crate) breaker: UpstreamBreaker,
     /// Budget of repeats that the server may be given; `None` before the first repeat.
     pub(crate) repeats: Option<RepeatBooks>,
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -30,6 +30,9 @@
     Expired,
     /// The work is refused after waiting, since the queue was full and an offer sorts before it.
     Displaced,
+    /// The work is refused after waiting, since its account is above its share and an offer of
+    /// another account took its place.
+    DisplacedByShare,
 }
 
 /// Occurrences that the daemon records as numbered events.
--- a/crates/limits/src/overload/fair.rs
+++ b/crates/limits/src/overload/fair.rs
@@ -284,7 +284,8 @@
         let own = self.own_cost_ahead(offer, key);
         let known = self.lanes.keys();
         let known = known.filter(|name| name.is_some() && **name != offer.account);
-        let known = known.map(|name| self.lane_cost_ahead(offer, key, name));
+        let start_tag = self.start_tag(offer, own);
+        let known = known.map(|name| self.lane_cost_ahead(offer, start_tag, name));
         let known: Duration = known.sum();
         if offer.account.is_none() {
             return own + known.min((own + offer.cost) * STARTS_PER_UNKNOWN);
@@ -292,7 +293,7 @@
         let unknown = self.lanes.get(&None);
         let unknown = unknown.map_or(Duration::ZERO, |lane| {
             let out_of_turn = (own + known) / STARTS_PER_UNKNOWN;
-            let in_turn = self.lane_cost_ahead(offer, key, &None);
+            let in_turn = self.lane_cost_ahead(offer, start_tag, &None);
             lane.queued_cost(true).min(in_turn.max(out_of_turn))
         });
         own + known + unknown
@@ -307,15 +308,24 @@
         ahead.map(|(_, queued)| queued.cost).sum()
     }
 
-    /// Returns the expected service time of the work of another account that starts before an offer.
-    fn lane_cost_ahead(&self, offer: &QueueEntry, key: &LaneKey, other: &LaneAccount) -> Duration {
+    /// Returns the start tag of an offer behind `own_ahead` of service time in its own lane.
+    fn start_tag(&self, offer: &QueueEntry, own_ahead: Duration) -> Duration {
+        let own = self.lanes.get(&offer.account);
+        let own_tag = own.map_or(Duration::ZERO, |lane| lane.virtual_time);
+        own_tag.max(self.lowest_virtual_time()) + own_ahead
+    }
+
+    /// Returns the expected service time of the work of another account that starts before an offer
+    /// with the given start tag.
+    fn lane_cost_ahead(
+        &self,
+        offer: &QueueEntry,
+        start_tag: Duration,
+        other: &LaneAccount,
+    ) -> Duration {
         let Some(lane) = self.lanes.get(other) else {
             return Duration::ZERO;
         };
-        let own = self.lanes.get(&offer.account);
-        let own_tag = own.map_or(Duration::ZERO, |lane| lane.virtual_time);
-        let own_ahead = self.own_cost_ahead(offer, key);
-        let start_tag = own_tag.max(self.lowest_virtual_time()) + own_ahead;
         let lane_tag = lane.virtual_time;
         if lane_tag > start_tag {
             return Duration::ZERO;
@@ -546,6 +556,53 @@
         first + other.min(first / (STARTS_PER_TURN - 1))
     }
 
+    /// Returns the number of requests that start before an offer in its own lane.
+    #[must_use]
+    pub fn count_ahead_in_lane(&self, offer: &QueueEntry) -> usize {
+        let lane = self.lane_of(offer);
+        lane.map_or(0, |lane| lane.queued.range(..offer.key(u64::MAX)).count())
+    }
+
+    /// Returns the queued work of the offer's own lane that starts after the offer, in order.
+    pub fn entries_behind(&self, offer: &QueueEntry) -> impl Iterator<Item = &QueueEntry> {
+        let behind = offer.key(u64::MAX);
+        let lane = self.lane_of(offer).into_iter();
+        lane.flat_map(move |lane| lane.queued.range(behind..).map(|(_, entry)| entry))
+    }
+
+    /// Returns by how much the start tag of an offer exceeds the virtual time of its priority. Zero if
+    /// the offer's account has used no more than its share, including the work of its lane that starts
+    /// before the offer.
+    #[must_use]
+    pub fn lead(&self, offer: &QueueEntry) -> Duration {
+        let Some(lanes) = self.priorities.get(&offer.priority) else {
+            return Duration::ZERO;
+        };
+        let own_ahead = lanes.own_cost_ahead(offer, &offer.key(u64::MAX));
+        let start_tag = lanes.start_tag(offer, own_ahead);
+        start_tag.saturating_sub(lanes.virtual_time)
+    }
+
+    fn lane_of(&self, offer: &QueueEntry) -> Option<&AccountLane> {
+        let lanes = self.priorities.get(&offer.priority)?;
+        lanes.lanes.get(&offer.account)
+    }
+
+    /// Updates the times and the expected service time of queued work, which keeps its account,
+    /// priority and order of arrival. Work that is not queued is ignored.
+    pub fn update(&mut self, entry: QueueEntry) {
+        let Some((priority, account, key)) = self.places.get_mut(&entry.work) else {
+            return;
+        };
+        let lanes = self.priorities.get_mut(priority);
+        let Some(lane) = lanes.and_then(|lanes| lanes.lanes.get_mut(account)) else {
+            return;
+        };
+        lane.remove(key);
+        *key = entry.key(key.sequence);
+        lane.insert(*key, entry);
+    }
+
     /// Returns the queued work to remove so that an offer has a place in the full queue; `None` if the
     /// offer is to be refused instead.
     ///
@@ -589,6 +646,7 @@
         }
         let mut excess = self.cost_ahead(offer).saturating_sub(max_ahead);
         let key = offer.key(u64::MAX);
+        let start_tag = lanes.start_tag(offer, lanes.own_cost_ahead(offer, &key));
         let others = lanes.lanes.iter();
         let others = others.filter(|(account, _)| **account != offer.account);
         let mut above: Vec<(Duration, &LaneAccount, &AccountLane)> = others
@@ -600,7 +658,7 @@
             let weight = lanes.weight(account);
             let mut surplus = usage.saturating_sub(share).mul_f64(weight);
             // Work of the lane that starts after the offer has to go first, without an effect.
-            let counted = lanes.lane_cost_ahead(offer, &key, account);
+            let counted = lanes.lane_cost_ahead(offer, start_tag, account);
             let mut uncounted = lane.queued_cost(true).saturating_sub(counted);
             let mut entries: Vec<_> = lane.queued.iter().collect();
             entries.sort_by_key(|(key, _)| std::cmp::Reverse((key.is_late, key.sequence)));
--- a/crates/limits/src/overload/gate.rs
+++ b/crates/limits/src/overload/gate.rs
@@ -9,9 +9,10 @@
 
 use super::gate_builder::DeadlineGateBuilder;
 use super::inflow::InflowWindow;
-use super::queue::{DeadlineQueue, WaitingWork, cautious_wait};
+use super::queue::{WaitingWork, cautious_wait};
 use super::queue_report::{QueueEvent, QueuePlace};
 use super::run_cost::RunCosts;
+use super::waiting_queue::WaitingQueue;
 
 /// Work that holds a slot.
 #[derive(Clone, Copy, Debug)]
@@ -28,7 +29,7 @@
     pub(super) queue_limit: usize,
     pub(super) warm_up: WarmUp,
     pub(super) running: BTreeMap<WorkId, RunningWork>,
-    pub(super) queue: DeadlineQueue,
+    pub(super) queue: Box<dyn WaitingQueue>,
     pub(super) costs: RunCosts,
     /// Inflow of offers that would meet their objective at a free slot.
     ///
@@ -56,7 +57,7 @@
             queue_limit: builder.queue as usize,
             warm_up: builder.warm_up,
             running: BTreeMap::new(),
-            queue: DeadlineQueue::default(),
+            queue: builder.waiting_queue(),
             costs: RunCosts::new(builder.first_service_time),
             inflow: InflowWindow::default(),
             pacer: RetryPacer::default(),
@@ -107,7 +108,7 @@
     ) -> GateDecision {
         let cost = offered.cost();
         let counts_as_inflow = now <= offered.latest_start();
-        let placed = self.place(now, offered);
+        let placed = self.place(now, offered, out);
         if counts_as_inflow {
             self.inflow.record(now, cost);
         }
@@ -115,21 +116,27 @@
             return self.refuse_overloaded(now, cost);
         };
         if self.queue.len() >= self.queue_limit {
-            let Some(last) = self.queue.pop_last_behind(&offered) else {
+            let Some(event) = self.queue.make_room(&offered) else {
                 return self.refuse_overloaded(now, cost);
             };
-            self.events.push(QueueEvent::Displaced(last.work()));
-            self.refuse_queued(now, last.work(), out);
+            self.events.push(event);
+            self.refuse_queued(now, event.work(), out);
         }
-        self.queue.push(offered);
+        self.queue.push(now, offered);
         GateDecision::Queued
     }
 
     /// Returns the work as it can wait, in time or late; `None` if it can be served neither way.
-    fn place(&mut self, now: Duration, offered: WaitingWork) -> Option<WaitingWork> {
+    fn place(
+        &mut self,
+        now: Duration,
+        offered: WaitingWork,
+        out: &mut Vec<GateCommand>,
+    ) -> Option<WaitingWork> {
         let slots = self.open_slots(now);
         let busy = self.remaining_cost(now);
-        let wait = (busy + self.queue.cost_ahead(&offered)) / slots;
+        self.make_way(now, &offered, busy, out);
+        let wait = self.queue.expected_wait(now, &offered, busy, slots);
         let wait = wait.max(self.permit_wait(now));
         let in_time = now + cautious_wait(wait) <= offered.latest_start()
             && !self.queue.would_delay(now, &offered, busy, slots);
@@ -138,17 +145,24 @@
                 position: self.queue.count_ahead(&offered),
                 expected_wait: Some(wait),
                 in_time,
+                in_lane: self.queue.count_ahead_in_lane(&offered),
             });
             return Some(offered);
         }
         let offered = offered.into_late();
-        let wait = (busy + self.queue.total_cost()) / slots;
-        let wait = divide(wait, self.inflow.share_left(now, slots));
+        let (ahead, yields) = self.queue.late_cost_ahead(&offered);
+        let wait = (busy + ahead) / slots;
+        let wait = if yields {
+            divide(wait, self.inflow.share_left(now, slots))
+        } else {
+            Some(wait)
+        };
         let wait = wait.map(|wait| wait.max(self.permit_wait(now)));
         self.offered_place = Some(QueuePlace {
             position: self.queue.count_ahead(&offered),
             expected_wait: wait,
             in_time,
+            in_lane: self.queue.count_ahead_in_lane(&offered),
         });
         let start = wait?.checked_add(now)?;
         (start <= offered.latest_start()).then_some(offered)
@@ -180,7 +194,12 @@
         refused(RefusalCode::Overloaded, Some(retry_after))
     }
 
-    fn refuse_queued(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
+    pub(super) fn refuse_queued(
+        &mut self,
+        now: Duration,
+        work: WorkId,
+        out: &mut Vec<GateCommand>,
+    ) {
         let retry_after = self.retry_after(now, self.costs.mean());
         out.push(GateCommand::Refuse {
             work,
--- a/crates/limits/src/overload/gate_admission.rs
+++ b/crates/limits/src/overload/gate_admission.rs
@@ -38,6 +38,7 @@
             if now <= offered.latest_start() {
                 self.inflow.record(now, offered.cost());
             }
+            self.queue.started(now, &offered);
             self.occupy_slot(now, &offered);
             return GateDecision::Run;
         }
@@ -77,14 +78,18 @@
 
     fn finished(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
         if let Some(run) = self.running.remove(&work) {
-            self.costs.record(run.kind, now.saturating_sub(run.since));
+            let service_time = now.saturating_sub(run.since);
+            self.queue.ended(work, service_time);
+            self.costs.record(run.kind, service_time);
             self.queue.update_costs(&self.costs);
         }
         self.tick(now, out);
     }
 
     fn released(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
-        self.running.remove(&work);
+        if let Some(run) = self.running.remove(&work) {
+            self.queue.ended(work, now.saturating_sub(run.since));
+        }
         self.tick(now, out);
     }
 
@@ -99,7 +104,7 @@
     fn tick(&mut self, now: Duration, out: &mut Vec<GateCommand>) {
         self.expire(now, out);
         while self.has_capacity(now)
-            && let Some(next) = self.queue.pop()
+            && let Some(next) = self.queue.pop(now)
         {
             self.occupy_slot(now, &next);
             out.push(GateCommand::Start { work: next.work() });
@@ -158,6 +163,8 @@
     }
 
     fn adopt_running(&mut self, work: WorkId, class: WorkClass, since: Duration) {
+        let started = WaitingWork::new(work, &class, &self.costs);
+        self.queue.started(since, &started);
         let run = RunningWork {
             kind: class.kind,
             expected: class.expected,
--- a/crates/limits/src/overload/gate_builder.rs
+++ b/crates/limits/src/overload/gate_builder.rs
@@ -4,14 +4,18 @@
 
 use crate::admission::{GateSettings, WarmUp};
 
+use super::account_queue::AccountQueue;
 use super::gate::DeadlineGate;
+use super::queue::DeadlineQueue;
 use super::settings::OverloadSettings;
+use super::waiting_queue::WaitingQueue;
 
 /// Builder of a [`DeadlineGate`].
 #[derive(Clone, Debug)]
 pub struct DeadlineGateBuilder {
     pub(super) slots: u32,
     pub(super) queue: u32,
+    pub(super) shares_by_account: bool,
     pub(super) first_service_time: Duration,
     pub(super) warm_up: WarmUp,
 }
@@ -29,6 +33,7 @@
         Self {
             slots,
             queue: OverloadSettings::default().queue,
+            shares_by_account: false,
             first_service_time,
             warm_up: WarmUp {
                 since: now,
@@ -51,6 +56,14 @@
         self
     }
 
+    /// Sets whether waiting work is shared fairly among client accounts. By default all work has one
+    /// lane.
+    #[must_use]
+    pub const fn share_by_account(mut self, shares: bool) -> Self {
+        self.shares_by_account = shares;
+        self
+    }
+
     /// Sets the run time assumed before the first run ended.
     #[must_use]
     pub const fn first_service_time(mut self, time: Duration) -> Self {
@@ -65,6 +78,14 @@
         self
     }
 
+    pub(super) fn waiting_queue(&self) -> Box<dyn WaitingQueue> {
+        if self.shares_by_account {
+            Box::new(AccountQueue::new(self.queue as usize))
+        } else {
+            Box::new(DeadlineQueue::default())
+        }
+    }
+
     /// Creates the gate.
     #[must_use]
     pub fn build(self) -> DeadlineGate {
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -12,12 +12,14 @@
 //!       └ else ─▶ refused at once (not run)
 //! ```
 
+mod account_queue;
 mod caller_queue;
 mod concurrency;
 mod fair;
 mod gate;
 mod gate_admission;
 mod gate_builder;
+mod gate_sharing;
 mod inflow;
 pub mod loans;
 mod queue;
@@ -26,7 +28,9 @@
 mod returns;
 mod run_cost;
 mod settings;
+mod waiting_queue;
 
+pub use account_queue::AccountQueue;
 pub use caller_queue::{CallerQueue, JoinDecision, WaitEntry, WaitReason, WaitTerms};
 pub use concurrency::{ConcurrencyLimit, RunEnd};
 pub use fair::{FairQueue, QueueEntry};
@@ -42,3 +46,4 @@
 pub use returns::{CallerNeed, ReturnAdvice, ReturnPacer, ServiceOutlook};
 pub use run_cost::RunCosts;
 pub use settings::OverloadSettings;
+pub use waiting_queue::WaitingQueue;
--- a/crates/limits/src/overload/queue.rs
+++ b/crates/limits/src/overload/queue.rs
@@ -4,9 +4,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sycamorelink_core::CustomerName;
+
 use crate::admission::{WorkClass, WorkId};
 
+use super::queue_report::QueueEvent;
 use super::run_cost::RunCosts;
+use super::waiting_queue::WaitingQueue;
 
 /// Inverse of the fraction of an expected wait that is added as a margin for its error. The mean of
 /// run times that vary by a quarter is within 5% of the true one.
@@ -16,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct WaitingWork {
     work: WorkId,
+    account: Option<CustomerName>,
     priority: u8,
     kind: u64,
     expected: Duration,
@@ -34,6 +39,7 @@
         let deadline = class.deadline;
         Self {
             work,
+            account: class.account.clone(),
             priority: class.priority,
             kind: class.kind,
             expected: class.expected,
@@ -57,6 +63,18 @@
         self.work
     }
 
+    /// Returns the client account that the work is done for; `None` if unknown.
+    #[must_use]
+    pub const fn account(&self) -> Option<&CustomerName> {
+        self.account.as_ref()
+    }
+
+    /// Returns the priority of the work; a greater value is more important.
+    #[must_use]
+    pub const fn priority(&self) -> u8 {
+        self.priority
+    }
+
     /// Returns the kind of the work.
     #[must_use]
     pub const fn kind(&self) -> u64 {
@@ -93,6 +111,21 @@
         end.saturating_sub(self.run_allowance())
     }
 
+    /// Returns the latest start, as time since the node started, with which the work still meets
+    /// its deadline.
+    #[must_use]
+    pub fn deadline_start(&self) -> Duration {
+        self.deadline.saturating_sub(self.run_allowance())
+    }
+
+    /// Updates the expected run time and returns whether it has changed.
+    pub(super) fn update_cost(&mut self, costs: &RunCosts) -> bool {
+        let cost = costs.cost_of(self.kind, self.expected);
+        let is_changed = cost != self.cost;
+        self.cost = cost;
+        is_changed
+    }
+
     fn run_allowance(&self) -> Duration {
         run_allowance(self.cost)
     }
@@ -127,6 +160,11 @@
     wait + wait / WAIT_MARGIN_DIVISOR
 }
 
+/// Returns the longest wait whose [`cautious_wait`] is at most `limit`.
+pub(super) fn uncautious_wait(limit: Duration) -> Duration {
+    limit / (WAIT_MARGIN_DIVISOR + 1) * WAIT_MARGIN_DIVISOR
+}
+
 /// Order of the queue: in time before late, then higher priority first, then earlier latest start,
 /// then smaller id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -153,28 +191,16 @@
     keys: BTreeMap<WorkId, QueueKey>,
 }
 
-impl DeadlineQueue {
-    /// Returns the number of waiting requests.
-    #[must_use]
-    pub fn len(&self) -> usize {
+impl WaitingQueue for DeadlineQueue {
+    fn len(&self) -> usize {
         self.waiting.len()
     }
 
-    /// Returns whether no request waits.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-    }
-
-    /// Returns whether this work waits.
-    #[must_use]
-    pub fn contains(&self, work: WorkId) -> bool {
+    fn contains(&self, work: WorkId) -> bool {
         self.keys.contains_key(&work)
     }
 
-    /// Returns the number of requests in time and late.
-    #[must_use]
-    pub fn count(&self) -> QueueCount {
+    fn count(&self) -> QueueCount {
         let late = self.waiting.values().filter(|work| work.late).count();
         QueueCount {
             in_time: saturating_u32(self.len() - late),
@@ -182,71 +208,54 @@
         }
     }
 
-    /// Adds work.
-    pub fn push(&mut self, work: WaitingWork) {
+    fn push(&mut self, _now: Duration, work: WaitingWork) {
         let key = work.key();
         self.keys.insert(work.work, key);
         self.waiting.insert(key, work);
     }
 
-    /// Removes work; `None` if it does not wait.
-    pub fn remove(&mut self, work: WorkId) -> Option<WaitingWork> {
+    fn remove(&mut self, work: WorkId) -> Option<WaitingWork> {
         let key = self.keys.remove(&work)?;
         self.waiting.remove(&key)
     }
 
-    /// Removes the work that starts next.
-    pub fn pop(&mut self) -> Option<WaitingWork> {
+    fn pop(&mut self, _now: Duration) -> Option<WaitingWork> {
         let (_, work) = self.waiting.pop_first()?;
         self.keys.remove(&work.work);
         Some(work)
     }
 
     /// Removes the last work of the queue if `offered` would sort before it.
-    pub fn pop_last_behind(&mut self, offered: &WaitingWork) -> Option<WaitingWork> {
+    fn make_room(&mut self, offered: &WaitingWork) -> Option<QueueEvent> {
         let (last, _) = self.waiting.last_key_value()?;
         if *last < offered.key() {
             return None;
         }
         let (_, work) = self.waiting.pop_last()?;
         self.keys.remove(&work.work);
-        Some(work)
+        Some(QueueEvent::Displaced(work.work))
     }
 
-    /// Returns the number of requests that start before offered work.
-    #[must_use]
-    pub fn count_ahead(&self, offered: &WaitingWork) -> u32 {
+    fn count_ahead(&self, offered: &WaitingWork) -> u32 {
         saturating_u32(self.waiting.range(..offered.key()).count())
     }
 
-    /// Returns the expected run time of the requests that start before offered work.
-    #[must_use]
-    pub fn cost_ahead(&self, offered: &WaitingWork) -> Duration {
+    fn cost_ahead(&self, offered: &WaitingWork) -> Duration {
         let ahead = self.waiting.range(..offered.key());
         ahead.map(|(_, work)| work.cost).sum()
     }
 
-    /// Returns the expected run time of all waiting requests.
-    #[must_use]
-    pub fn total_cost(&self) -> Duration {
+    fn total_cost(&self) -> Duration {
         self.waiting.values().map(WaitingWork::cost).sum()
     }
 
-    /// Returns the expected run time of the waiting requests that are in time.
-    #[must_use]
-    pub fn in_time_cost(&self) -> Duration {
+    fn in_time_cost(&self) -> Duration {
         let in_time = self.waiting.values().take_while(|work| !work.late);
         in_time.map(WaitingWork::cost).sum()
     }
 
-    /// Returns whether offered work would make waiting work of the same priority miss its objective,
-    /// which that work would meet without it.
-    ///
-    /// `busy` is the remaining time of the current runs, summed over the slots. Without this check,
-    /// offers with short objectives would displace accepted work with longer ones, which would then
-    /// be late although a slot was counted for it.
-    #[must_use]
-    pub fn would_delay(
+    /// Considers the waiting work of the same priority.
+    fn would_delay(
         &self,
         now: Duration,
         offered: &WaitingWork,
@@ -268,9 +277,7 @@
         false
     }
 
-    /// Marks work that can no longer meet its objective as late, and removes late work that can no
-    /// longer meet its deadline. Appends the ids of both.
-    pub fn expire(&mut self, now: Duration, late: &mut Vec<WorkId>, expired: &mut Vec<WorkId>) {
+    fn expire(&mut self, now: Duration, late: &mut Vec<WorkId>, expired: &mut Vec<WorkId>) {
         let missed = self.waiting.values();
         let missed = missed.filter(|work| work.latest_start() < now);
         let missed: Vec<WorkId> = missed.map(WaitingWork::work).collect();
@@ -279,7 +286,7 @@
                 continue;
             };
             if work.can_meet_deadline(now) {
-                self.push(work.into_late());
+                self.push(now, work.into_late());
                 late.push(id);
             } else {
                 expired.push(id);
@@ -287,11 +294,7 @@
         }
     }
 
-    /// Updates the expected run times after a run ended, and with them the order.
-    ///
-    /// Guards against a queue that is judged for seconds by the run time assumed before the first
-    /// run ended.
-    pub fn update_costs(&mut self, costs: &RunCosts) {
+    fn update_costs(&mut self, costs: &RunCosts) {
         let changed: Vec<WorkId> = self
             .waiting
             .values()
@@ -299,14 +302,18 @@
             .map(WaitingWork::work)
             .collect();
         for id in changed {
-            if let Some(mut work) = self.remove(id) {
-                work.cost = costs.cost_of(work.kind, work.expected);
-                self.push(work);
+            if let Some(key) = self.keys.remove(&id)
+                && let Some(mut work) = self.waiting.remove(&key)
+            {
+                work.update_cost(costs);
+                let key = work.key();
+                self.keys.insert(id, key);
+                self.waiting.insert(key, work);
             }
         }
     }
 }
 
-fn saturating_u32(value: usize) -> u32 {
+pub(super) fn saturating_u32(value: usize) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
--- a/crates/limits/src/overload/queue_report.rs
+++ b/crates/limits/src/overload/queue_report.rs
@@ -15,6 +15,10 @@
     pub expected_wait: Option<Duration>,
     /// Whether the work can meet its objective.
     pub in_time: bool,
+    /// Number of requests of the same account that start before this one; `None` if the queue does
+    /// not distinguish accounts. Requests without a known account count as one account.
+    #[serde(default)]
+    pub in_lane: Option<u32>,
 }
 
 /// Change to queued work that needs a report.
@@ -27,4 +31,20 @@
     Expired(WorkId),
     /// The queue was full and an offer sorted before the work, which is refused.
     Displaced(WorkId),
+    /// The account of the work is above its share, and an offer of another account took its place.
+    /// The work is refused.
+    DisplacedByShare(WorkId),
+}
+
+impl QueueEvent {
+    /// Returns the work that the event is about.
+    #[must_use]
+    pub const fn work(self) -> WorkId {
+        match self {
+            Self::BecameLate(work)
+            | Self::Expired(work)
+            | Self::Displaced(work)
+            | Self::DisplacedByShare(work) => work,
+        }
+    }
 }
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -212,6 +212,8 @@
         "Waiting requests that were sent to a backend server again, by the reason of the wait.";
     CallersExpired Counter "callers_expired" "requests" ["service" "end"]
         "Requests that ended while they waited: expired, displaced, caller-gone, draining or switched-off.";
+    QueueDisplacedByShare Counter "queue_displaced_by_share" "requests" ["service"]
+        "Requests refused at this instance after waiting, because their client account was above its share and another took the place.";
 }
 
 /// Metrics that no code sends yet.
