--- a/crates/daemon/tests/telemetry/overload.rs
+++ b/crates/daemon/tests/telemetry/overload.rs
@@ -14,15 +14,24 @@
 /// Description of the operators' API.
 const DESCRIPTION: &str = include_str!("../../../../docs/api/openapi.json");
 /// Token of a caller; the native protocol requires one, a fleet contract ignores it.
-const TOKEN: &str = "authorization: Bearer caller";
+pub const TOKEN: &str = "authorization: Bearer caller";
 /// Requests to a backend server with one slot.
 const REQUESTS: u64 = 4;
 
 /// A source whose contract never changes.
-struct FixedSource {
+pub struct FixedSource {
     contract: Option<Arc<FleetContract>>,
 }
 
+impl FixedSource {
+    /// Returns a source of a contract with one route, whose callers can wait for half a minute.
+    pub fn new() -> Self {
+        Self {
+            contract: Some(Arc::new(fleet_contract())),
+        }
+    }
+}
+
 impl ContractSource for FixedSource {
     fn next(&mut self) -> AdapterFuture<'_, SourceUpdate> {
         let contract = self.contract.take();
@@ -73,10 +82,8 @@
 /// Starts a daemon beside a backend server with one slot that accepts requests and never replies,
 /// and returns the reply about its service once `REQUESTS` requests are there.
 fn service_reply(name: &str, limits: Value) -> Value {
-    let source = FixedSource {
-        contract: Some(Arc::new(fleet_contract())),
-    };
-    let node = NodeFixture::start_fleet(name, limits, Box::new(source));
+    let source = Box::new(FixedSource::new());
+    let node = NodeFixture::start_fleet(name, limits, source);
     let server = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = server.local_addr().expect("the listener has an address");
     let announced = json!({
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -204,7 +204,7 @@
         LocalUpstream {
             announced: announced.clone(),
             gate: self.new_gate(now, announced),
-            queues_by_deadline: self.queues_by_deadline(),
+            gate_kind: self.gate_kind(),
             learned: None,
             speed: ServerSpeed::default(),
             breaker: UpstreamBreaker::new(now)
--- a/crates/engine/src/overload_status.rs
+++ b/crates/engine/src/overload_status.rs
@@ -10,6 +10,7 @@
 
 use crate::command::NodeCommand;
 use crate::executor::upstream_id;
+use crate::local_upstream::GateKind;
 use crate::node::NodeEngine;
 use crate::note::{NodeNote, RequestSummary};
 use crate::request::WorkPhase;
@@ -72,7 +73,7 @@
     fn queue_statuses(&self, service: &ServiceName) -> Vec<QueueStatus> {
         let upstreams = self.upstreams.iter().filter(|(_, upstream)| {
             upstream.available
-                && upstream.queues_by_deadline
+                && upstream.gate_kind != GateKind::Slots
                 && upstream.announced.service == *service
         });
         upstreams
--- a/crates/engine/src/server_speed.rs
+++ b/crates/engine/src/server_speed.rs
@@ -12,7 +12,7 @@
 
 use crate::event::{AttemptReport, WorkEnd, WorkReport};
 use crate::executor::{SERVER_ERROR, upstream_id};
-use crate::local_upstream::LocalUpstream;
+use crate::local_upstream::{GateKind, LocalUpstream};
 use crate::node::NodeEngine;
 
 /// What a gate may learn from the end of a run.
@@ -121,7 +121,7 @@
     #[must_use]
     pub fn server_speeds(&self) -> Vec<ServerSpeedStatus> {
         let limited = self.upstreams.iter().filter(|(_, upstream)| {
-            self.limits_concurrency() && upstream.available && upstream.queues_by_deadline
+            self.limits_concurrency() && upstream.available && upstream.gate_kind != GateKind::Slots
         });
         let status_of = |(slot, upstream): (&u16, &LocalUpstream)| {
             let load = upstream.gate.load(self.now);
--- a/crates/lab/src/capacity/overload.rs
+++ b/crates/lab/src/capacity/overload.rs
@@ -152,6 +152,7 @@
         mean_run_ms: 1_000,
         failing: 3,
         repeats: 2,
+        relative_run: 0,
         age_ms: u32::try_from(number % 500).unwrap_or(0),
     }
 }
--- a/crates/limits/src/overload/gate_admission.rs
+++ b/crates/limits/src/overload/gate_admission.rs
@@ -40,6 +40,7 @@
             if now <= offered.latest_start() {
                 self.inflow.record(now, offered.cost());
             }
+            self.queue.started(now, &offered);
             self.occupy_slot(now, &offered);
             return GateDecision::Run;
         }
@@ -79,7 +80,9 @@
 
     fn finished(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
         if let Some(run) = self.running.remove(&work) {
-            self.costs.record(run.kind, now.saturating_sub(run.since));
+            let service_time = now.saturating_sub(run.since);
+            self.queue.ended(work, service_time);
+            self.costs.record(run.kind, service_time);
             self.queue.update_costs(&self.costs);
         }
         self.count_limited_end(now, work, RunEnd::Served);
@@ -87,7 +90,9 @@
     }
 
     fn released(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
-        self.running.remove(&work);
+        if let Some(run) = self.running.remove(&work) {
+            self.queue.ended(work, now.saturating_sub(run.since));
+        }
         self.count_limited_end(now, work, RunEnd::Excluded);
         self.tick(now, out);
     }
@@ -120,7 +125,7 @@
         self.expire(now, out);
         self.tick_limit(now);
         while self.has_capacity(now)
-            && let Some(next) = self.queue.pop()
+            && let Some(next) = self.queue.pop(now)
         {
             self.occupy_slot(now, &next);
             out.push(GateCommand::Start { work: next.work() });
@@ -179,6 +184,8 @@
     }
 
     fn adopt_running(&mut self, work: WorkId, class: WorkClass, since: Duration) {
+        let started = WaitingWork::new(work, &class, &self.costs);
+        self.queue.started(since, &started);
         let run = RunningWork {
             kind: class.kind,
             expected: class.expected,
--- a/crates/limits/src/overload/mod.rs
+++ b/crates/limits/src/overload/mod.rs
@@ -12,6 +12,7 @@
 //!       └ else ─▶ refused at once (not run)
 //! ```
 
+mod account_queue;
 mod caller_queue;
 mod concurrency;
 mod fair;
@@ -19,6 +20,7 @@
 mod gate_admission;
 mod gate_builder;
 mod gate_limit;
+mod gate_sharing;
 mod inflow;
 pub mod loans;
 mod queue;
@@ -29,7 +31,9 @@
 mod run_cost;
 mod settings;
 mod speed;
+mod waiting_queue;
 
+pub use account_queue::AccountQueue;
 pub use caller_queue::{CallerQueue, JoinDecision, WaitEntry, WaitReason, WaitTerms};
 pub use concurrency::{ConcurrencyLimit, LimitCause, LimitChange, RunEnd};
 pub use fair::{FairQueue, QueueEntry};
@@ -48,3 +52,4 @@
 pub use run_cost::RunCosts;
 pub use settings::OverloadSettings;
 pub use speed::{ServerSpeed, ServiceTimes};
+pub use waiting_queue::WaitingQueue;
--- a/crates/policy/tests/spillover.rs
+++ b/crates/policy/tests/spillover.rs
@@ -170,6 +170,7 @@
             mean_run_ms: 900,
             failing: 0,
             repeats: 1,
+            relative_run: 0,
             age_ms: 0,
         };
         table.merge(now, record).expect("a valid record");
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -218,6 +218,8 @@
         "Concurrent runs that the backend servers of this instance are given at most. Only where the limit is learned.";
     MeanRunTime Gauge "mean_run_time" "milliseconds" ["service"]
         "Mean run time at the backend servers of this instance. Only where the limit is learned.";
+    QueueDisplacedByShare Counter "queue_displaced_by_share" "requests" ["service"]
+        "Requests refused at this instance after waiting, because their client account was above its share and another took the place.";
 }
 
 /// Metrics that no code sends yet.
