--- a/crates/limits/src/overload/loans.rs
+++ b/crates/limits/src/overload/loans.rs
@@ -437,7 +437,7 @@
     }
 
     /// Returns the asks to send now: for the shortage, divided among lenders chosen by
-    /// [`choose_lenders`], with at most [`MAX_OPEN_ASKS`] open and [`MAX_ASKS`] in a second.
+    /// [`choose_lenders`], with at most three open and five in a second.
     ///
     /// `next_ask` is the number of the next ask of this daemon and is advanced.
     pub fn asks<R>(
