Release waiting requests only where they can be served

Requests that a full server refused after a release waited again even if no server was expected to reply in their time, and requests without a repeat were released while no server had one left, which slowed down later releases. Both now follow the capacity records. Repeats choose among all failure domains, since few servers have any left.

--- a/crates/engine/src/caller_queue.rs
+++ b/crates/engine/src/caller_queue.rs
@@ -152,12 +152,16 @@
             }
             Some(RefusalCode::RepeatsSpent) => Some(WaitReason::NoRepeats),
             Some(RefusalCode::Overloaded) if report.run == RunState::NotRun => {
-                // A released request that meets full servers continues to wait as before.
                 let service = state.rule.service.clone();
                 let forecast = self.capacity_forecast(self.now, &service);
                 let state = self.requests.get(&id)?;
+                let left = state.deadline.saturating_sub(self.now);
+                let is_hopeless = forecast.is_some_and(|forecast| forecast.excess(left).is_some());
                 let short = is_short_of_capacity(state, forecast, self.now);
-                state.wait.or(short.then_some(WaitReason::NoCapacity))
+                // A released request that meets full servers continues to wait as before, unless no
+                // server is expected to reply in its time.
+                let reason = state.wait.or(short.then_some(WaitReason::NoCapacity));
+                reason.filter(|_| !is_hopeless)
             }
             _ => None,
         }
@@ -284,6 +288,9 @@
         // A leaving node tries what it can in the time that is left to it.
         let leaving = self.draining.is_some();
         let has_capacity = !has_records || forecast.is_some_and(|forecast| forecast.has_free_slot);
+        // Releases without a repeat left anywhere would only slow down the later ones.
+        let table = self.capacity.tables.get(service);
+        let has_repeats = !has_records || table.is_some_and(|table| table.has_repeats(now));
         let waits = self.waits.services.entry(service.clone()).or_default();
         let count = waits.pace.allowance(now);
         let declining = waits.monitor.is_declining();
@@ -298,7 +305,7 @@
                             || leaving
                             || (tries_early && entry.terms.is_nearly_late(now, EARLY_TRY_TIME))
                     }
-                    WaitReason::NoRepeats => true,
+                    WaitReason::NoRepeats => has_repeats,
                     WaitReason::NoCapacity => has_capacity || leaving,
                 });
         if !entries.is_empty() {
--- a/crates/policy/src/capacity/table.rs
+++ b/crates/policy/src/capacity/table.rs
@@ -165,6 +165,12 @@
         stored.filter_map(move |stored| aged(stored, now))
     }
 
+    /// Returns whether any valid record reports a repeat left.
+    #[must_use]
+    pub fn has_repeats(&self, now: Duration) -> bool {
+        self.live_records(now).any(|record| record.repeats > 0)
+    }
+
     /// Returns the capacity of the service over the fleet; `None` while no record of another node is
     /// valid.
     #[must_use]
--- a/crates/policy/src/soonest.rs
+++ b/crates/policy/src/soonest.rs
@@ -140,7 +140,7 @@
     /// All candidates are kept if every one in the preferred domain is worse, apart from its wait,
     /// than one in another domain: a share by waits says nothing about faults. They are also kept if
     /// the waits differ so much that all requests would cross, since the share follows a burst at
-    /// this node only after some hundred milliseconds.
+    /// this node only after some hundred milliseconds. Repeats are few and go where some are left.
     fn choose_domain(
         &mut self,
         now: Duration,
@@ -148,6 +148,9 @@
         far_cost: f64,
         terms: &SoonestTerms,
     ) {
+        if terms.is_repeat {
+            return;
+        }
         let size_share = self.relative_reply_size(terms.kind);
         let Some(spillover) = &mut self.spillover else {
             return;
