Keep promising retry times after the clock stepped back

The pacer kept its last promised time, so that after a step back by an hour all refused callers were told for an hour that no capacity is expected.

--- a/crates/limits/src/overload/returns.rs
+++ b/crates/limits/src/overload/returns.rs
@@ -76,6 +76,10 @@
         outlook: &ServiceOutlook,
         need: CallerNeed,
     ) -> ReturnAdvice {
+        // No promise is that far ahead, so the clock stepped back since the last one.
+        if self.last > now + MAX_DELAY {
+            self.last = Duration::ZERO;
+        }
         let at = (now + outlook.backlog).max(self.last + interval_of(outlook));
         let delay = at.saturating_sub(now);
         let served_after = delay + outlook.run_time;
--- a/crates/limits/tests/paced_returns.rs
+++ b/crates/limits/tests/paced_returns.rs
@@ -104,3 +104,14 @@
     let advice = pacer.next(at(0), &empty, need);
     assert_eq!(advice.promised_delay(), None, "{advice:?}");
 }
+
+// Guards against a service that promises nothing for as long as its clock stepped back.
+#[test]
+fn clock_that_steps_back_does_not_stop_the_promises() {
+    let mut pacer = ReturnPacer::default();
+    let need = need(8_000, 12_000);
+    let advice = pacer.next(at(3_600_000), &outlook(2_000), need);
+    assert_eq!(advice, ReturnAdvice::After(at(2_000)));
+    let advice = pacer.next(at(1_000), &outlook(2_000), need);
+    assert_eq!(advice, ReturnAdvice::After(at(2_000)));
+}
