Remember started attempts for as long as their caller may wait

A node forgot after 30 s that it had started an attempt. Asked later about a lost connection, it answered that the attempt was never started, and a request that must not repeat ran twice where a route has a deadline above 30 s.

--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -215,7 +215,7 @@
         if let Some(upstream) = self.upstreams.get_mut(&slot) {
             upstream.breaker.started(now, work.0, kind, allowed);
         }
-        self.mark_fence(now, attempt, FenceMark::Begun);
+        self.mark_begun(now, attempt, allowed);
         self.note_work_decision(work, None, out);
         out.push(NodeCommand::RunWork { work, life });
     }
--- a/crates/engine/src/fencing.rs
+++ b/crates/engine/src/fencing.rs
@@ -27,8 +27,8 @@
 /// Maximum wait for the answer: several times a new connection and a round trip. After that the
 /// caller is answered that its request may have run.
 const FENCE_WAIT: Duration = Duration::from_millis(300);
-/// Time for which a node remembers attempts that it started or refused: longer than the lifetime of
-/// any request.
+/// Minimum time for which a node remembers attempts that it started or refused. Those that it started
+/// are remembered for longer if their caller may wait longer.
 const FENCE_RETENTION: Duration = Duration::from_secs(30);
 
 /// Recorded state of an attempt that was offered to this node.
@@ -130,7 +130,7 @@
         }
         let begun = self.fence_mark(attempt) == Some(FenceMark::Begun);
         if !begun {
-            self.mark_fence(now, attempt, FenceMark::Refused);
+            self.mark_fence(now, attempt, FenceMark::Refused, FENCE_RETENTION);
         }
         let answer = PeerMessage::FenceAnswer { attempt, begun };
         self.send_peer(from, answer, out);
@@ -141,10 +141,22 @@
         self.fences.get(&attempt).map(|(mark, _)| *mark)
     }
 
-    /// Records the state of an attempt.
-    pub(crate) fn mark_fence(&mut self, now: Duration, attempt: AttemptId, mark: FenceMark) {
+    /// Records that an attempt was started whose caller waits for at most `time_left`.
+    pub(crate) fn mark_begun(&mut self, now: Duration, attempt: AttemptId, time_left: Duration) {
+        let retention = FENCE_RETENTION.max(time_left.saturating_add(FENCE_WAIT));
+        self.mark_fence(now, attempt, FenceMark::Begun, retention);
+    }
+
+    fn mark_fence(
+        &mut self,
+        now: Duration,
+        attempt: AttemptId,
+        mark: FenceMark,
+        retention: Duration,
+    ) {
         if self.uses_fleet_contract() {
-            self.fences.insert(attempt, (mark, now + FENCE_RETENTION));
+            let until = now.saturating_add(retention);
+            self.fences.insert(attempt, (mark, until));
         }
     }
 
--- a/crates/engine/tests/session/overload_queue.rs
+++ b/crates/engine/tests/session/overload_queue.rs
@@ -5,9 +5,9 @@
 
 use sycamorelink_contract::FleetContract;
 use sycamorelink_core::{RequestId, RunState};
-use sycamorelink_engine::NodeEvent;
+use sycamorelink_engine::{AttemptReport, NodeEvent};
 use sycamorelink_limits::{OverloadSettings, QueueCount};
-use sycamorelink_policy::PolicyMechanism;
+use sycamorelink_policy::{PolicyMechanism, SampleKind};
 
 use crate::fleet_contract::contract;
 use crate::world::{BackendScript, SessionWorld, name_of, node};
@@ -309,3 +309,46 @@
     let runs = |number| world.runs.get(&RequestId(number)).copied().unwrap_or(0);
     assert!((first..end).all(|number| runs(number) <= 1));
 }
+
+// Guards against work that runs twice: the node beside the backend server must remember a run for as
+// long as its caller may ask about it, also where a route allows more than 30 s.
+#[test]
+fn long_run_is_not_reported_as_not_started() {
+    let mut contract = contract_with_objective(1, OBJECTIVE);
+    for route in &mut contract.routes {
+        route.deadline = Duration::from_mins(1);
+    }
+    let overload = overload_from(Some(OBJECTIVE));
+    let mut world = SessionWorld::start_fleet_with_overload(FLEET_SIZE, contract, overload, &[]);
+    set_run_time(&mut world, Duration::from_secs(50));
+    // Without a server of its own, the node sends its requests to other nodes.
+    let ingress = name_of(0);
+    let gone = NodeEvent::UpstreamWithdrawn {
+        slot: 0,
+        life: None,
+    };
+    world.send_event(&ingress, gone);
+    world.run_for(Duration::from_secs(4));
+    world.call(&ingress, 1, "POST", "/bookings", None);
+    world.run_for(Duration::from_secs(40));
+    let attempt = world.orders.first().expect("an attempt").attempt;
+    assert_eq!(world.runs.get(&attempt.request), Some(&1));
+    let lost = AttemptReport {
+        attempt,
+        kind: SampleKind::ConnectionLost,
+        run: RunState::Unknown,
+        status: None,
+        latency: Duration::from_secs(40),
+        service_time: None,
+        load: None,
+        code: None,
+        retry_after: None,
+        reply_bytes: 0,
+    };
+    world.send_event(&ingress, NodeEvent::AttemptEnded(lost));
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.runs.get(&attempt.request), Some(&1));
+    let (_, summary) = &world.answers[&attempt.request];
+    let refusal = summary.refusal.as_ref().expect("a refusal");
+    assert_eq!(refusal.run, RunState::Unknown, "{refusal:?}");
+}
