Let a service with one kind of work spill over like one with small replies

Reply sizes were compared with the largest kind alone. The only kind of a service counted as the one with the largest replies, and none of its requests crossed below a share of one half.

--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -188,12 +188,16 @@
         (DISTANCE_COST + bytes / BYTES_PER_KIB * DISTANCE_COST_PER_KIB).min(MAX_DISTANCE_COST)
     }
 
-    /// Returns the learned size of the replies to a kind of work relative to the largest kind, from 0
-    /// to 1.
+    /// Returns by how much the learned replies to a kind of work are larger than those of the
+    /// smallest kind, relative to the largest kind, from 0 to 1. It is 0 where all kinds are alike.
     pub(crate) fn relative_reply_size(&self, kind: u64) -> f64 {
-        let bytes = self.reply_sizes.get(&kind).copied().unwrap_or(0.0);
-        let largest = self.reply_sizes.values().copied().fold(1.0, f64::max);
-        bytes / largest
+        let Some(bytes) = self.reply_sizes.get(&kind).copied() else {
+            return 0.0;
+        };
+        let sizes = self.reply_sizes.values().copied();
+        let smallest = sizes.clone().fold(f64::INFINITY, f64::min);
+        let largest = sizes.fold(1.0, f64::max);
+        (bytes - smallest) / largest
     }
 
     /// Updates the learned size of the replies to a kind of work.
--- a/crates/policy/src/spillover.rs
+++ b/crates/policy/src/spillover.rs
@@ -65,8 +65,9 @@
 
     /// Returns whether a request crosses, given a random number from 0 to 1.
     ///
-    /// `size_share` is the size of the replies to the request's kind of work relative to the largest
-    /// kind, from 0 to 1. Requests with large replies cross only once the share is large.
+    /// `size_share` is by how much the replies to the request's kind of work are larger than those of
+    /// the smallest kind, relative to the largest kind, from 0 to 1. Requests with large replies
+    /// cross only once the share is large.
     #[must_use]
     pub fn crosses(&self, draw: f64, size_share: f64) -> bool {
         let share = (self.share * (1.0 + size_share) - size_share).max(0.0);
--- a/crates/policy/tests/spillover.rs
+++ b/crates/policy/tests/spillover.rs
@@ -205,10 +205,8 @@
     f64::from(far) / 200.0
 }
 
-// Guards against requests that leave their failure domain for nothing, and against callers that wait
-// behind a full domain while another one has free slots.
-#[test]
-fn selection_follows_the_waits_of_the_domains() {
+/// Returns a pool with servers in two failure domains, which prefers the near one.
+fn pool_of_two_domains() -> ServicePool {
     let mut pool = ServicePool::new(PoolSettings::default(), 3);
     for number in 0..SERVERS * 2 {
         let facts = UpstreamFacts {
@@ -220,6 +218,14 @@
     }
     pool.prefer_domain(DomainName::new("near"));
     pool.spill_over(true);
+    pool
+}
+
+// Guards against requests that leave their failure domain for nothing, and against callers that wait
+// behind a full domain while another one has free slots.
+#[test]
+fn selection_follows_the_waits_of_the_domains() {
+    let mut pool = pool_of_two_domains();
     let mut table = CapacityTable::new(NodeId(100));
     let even = share_of_far(&mut pool, &mut table, Duration::from_secs(10), 0);
     assert!(even <= 0.0, "{even} of the requests crossed at even waits");
@@ -228,3 +234,14 @@
     let after = share_of_far(&mut pool, &mut table, Duration::from_secs(14), 0);
     assert!(after < 0.05, "{after} crossed after the load had gone");
 }
+
+// Guards against a service whose only kind of work counts as the one with the largest replies, so that
+// none of its requests cross until the waits differ by much more than the cost of crossing.
+#[test]
+fn only_kind_of_work_crosses_like_one_with_small_replies() {
+    let mut pool = pool_of_two_domains();
+    pool.learn_reply_size(KIND, 200);
+    let mut table = CapacityTable::new(NodeId(100));
+    let uneven = share_of_far(&mut pool, &mut table, Duration::from_secs(10), 760);
+    assert!((0.45..0.75).contains(&uneven), "{uneven} crossed");
+}
