Keep places for each lower priority in a full fair queue

The priorities below the highest share a tenth of the places. The lowest of three lost each of its places to the middle one when that alone filled the tenth: it had 2 of 2003 starts within 120 s. Each lower priority now keeps an equal part of the tenth.

--- a/crates/limits/src/overload/fair.rs
+++ b/crates/limits/src/overload/fair.rs
@@ -692,28 +692,35 @@
     /// Returns the priority that loses a place to an offer of the given priority; `None` if the offer
     /// has to be refused.
     ///
-    /// This is the lowest priority. The priorities below the highest have a tenth of the places,
-    /// however.
+    /// The priorities below the highest have a tenth of the places, in equal parts. Beyond these parts,
+    /// the lowest priority loses, or else that of the offer. Without a part of its own, the lowest of three priorities would lose
+    /// each place to the middle one and never start.
     fn crowded_priority(&self, offered: u8) -> Option<u8> {
         let waiting = self.priorities.iter().filter(|(_, lanes)| lanes.queued > 0);
-        let waiting: Vec<(u8, usize)> = waiting
+        let waiting: BTreeMap<u8, usize> = waiting
             .map(|(priority, lanes)| (*priority, lanes.queued))
             .collect();
-        let (lowest, _) = *waiting.first()?;
-        let (highest, queued) = *waiting.last()?;
+        let (&highest, &queued) = waiting.last_key_value()?;
         let below = self.len() - queued;
         let reserved = self.capacity / PLACES_PER_RESERVED;
-        if offered >= highest {
-            return Some(if offered == highest && below <= reserved {
-                highest
-            } else {
-                lowest
-            });
-        }
-        if below < reserved {
+        let highest_loses = if offered == highest {
+            below <= reserved
+        } else {
+            offered < highest && below < reserved
+        };
+        if highest_loses {
             return Some(highest);
         }
-        (lowest <= offered).then_some(lowest)
+        let top = highest.max(offered);
+        let others = waiting.keys().filter(|priority| **priority != offered);
+        let lower = others.filter(|priority| **priority < top).count();
+        let lower = lower + usize::from(offered < top);
+        let part = reserved / lower.max(1);
+        let offered_queued = waiting.get(&offered).copied().unwrap_or(0);
+        let mut losing = waiting.range(..top).filter(|(_, queued)| **queued > part);
+        let lowest = losing.next().map(|(lowest, _)| *lowest);
+        let lowest = lowest.filter(|lowest| *lowest <= offered || offered_queued < part);
+        Some(lowest.unwrap_or(offered))
     }
 
     fn drop_empty(&mut self, priority: u8) {
--- a/crates/limits/tests/fair_queue.rs
+++ b/crates/limits/tests/fair_queue.rs
@@ -318,6 +318,47 @@
     }
 }
 
+// Guards against a lowest priority that loses each of its places to the one above it, which then has
+// all places that are reserved for lower priorities.
+#[test]
+fn lowest_priority_keeps_places_beside_a_crowded_one_above_it() {
+    for seed in SEEDS {
+        let sources = [
+            (account(0), 9, 100.0),
+            (account(1), 5, 60.0),
+            (account(2), 1, 10.0),
+        ];
+        let mut simulation = QueueSimulation::new(seed, &sources);
+        simulation.run_for(secs(120));
+        let counts = simulation.sources.iter().map(|source| source.counts);
+        let started: Vec<u32> = counts.map(|counts| counts.started).collect();
+        println!("seed {seed}: started {started:?}");
+        let total: u32 = started.iter().sum();
+        assert!(started[1] > total / 50, "{started:?}");
+        assert!(started[2] > total / 50, "{started:?}");
+    }
+}
+
+// Guards against an offer that is refused because its priority has exactly its part of the places,
+// although another account of that priority holds all of them.
+#[test]
+fn account_gets_a_place_within_the_part_of_its_priority() {
+    for others in [0, 20] {
+        let mut queue = FairQueue::new(QUEUE);
+        for work in 0..40 - others {
+            assert!(queue.push(secs(0), entry(work, account(1), 5)));
+        }
+        for work in 40 - others..40 {
+            assert!(queue.push(secs(0), entry(work, account(2), 1)));
+        }
+        for work in 40..400 {
+            assert!(queue.push(secs(0), entry(work, account(0), 9)));
+        }
+        let offer = entry(400, account(3), 5);
+        assert_eq!(queue.displaced_by(&offer), Some(WorkId(39 - others)));
+    }
+}
+
 // Guards against calls of backend servers, which have no known account, that wait behind all of the
 // accounts although a run waits for each of them.
 #[test]
