Take time linear in a lane to check whether an offer delays it

The check computed the cost ahead anew for each request behind the offer, over all lanes and the whole lane of the account.

--- a/crates/limits/src/overload/account_queue.rs
+++ b/crates/limits/src/overload/account_queue.rs
@@ -205,13 +205,10 @@
             now + cautious_wait((busy + ahead) / slots) <= latest
         };
         let entry = offered.entry();
-        self.fair.entries_behind(&entry).any(|behind| {
-            let Some(latest) = behind.objective_start else {
-                return false;
-            };
-            let ahead = self.fair.cost_ahead(behind).saturating_sub(behind.cost);
-            meets(ahead, latest) && !meets(ahead + entry.cost, latest)
-        })
+        // Late work has no objective to miss.
+        let behind = self.fair.costs_behind(&entry);
+        let mut behind = behind.map_while(|(work, ahead)| Some((ahead, work.objective_start?)));
+        behind.any(|(ahead, latest)| meets(ahead, latest) && !meets(ahead + entry.cost, latest))
     }
 
     fn expire(&mut self, now: Duration, late: &mut Vec<WorkId>, expired: &mut Vec<WorkId>) {
--- a/crates/limits/src/overload/fair.rs
+++ b/crates/limits/src/overload/fair.rs
@@ -133,6 +133,17 @@
         newest.map(|(key, entry)| (*key, entry.work))
     }
 
+    /// Returns the expected service time of the work of this lane that starts before work of
+    /// another lane with the given start tag and cost.
+    fn cost_ahead(&self, start_tag: Duration, cost: Duration) -> Duration {
+        if self.virtual_time > start_tag {
+            return Duration::ZERO;
+        }
+        // The lane also starts the work that passes the start tag of the offer.
+        let until_tag = start_tag.saturating_sub(self.virtual_time);
+        self.queued_cost(true).min(until_tag + cost)
+    }
+
     fn is_empty(&self) -> bool {
         self.queued.is_empty() && self.running == 0
     }
@@ -279,26 +290,6 @@
         usages.max_by_key(|(_, usage)| *usage)
     }
 
-    /// Returns the expected service time of the work of this priority that starts before an offer.
-    fn cost_ahead(&self, offer: &QueueEntry, key: &LaneKey) -> Duration {
-        let own = self.own_cost_ahead(offer, key);
-        let known = self.lanes.keys();
-        let known = known.filter(|name| name.is_some() && **name != offer.account);
-        let start_tag = self.start_tag(offer, own);
-        let known = known.map(|name| self.lane_cost_ahead(offer, start_tag, name));
-        let known: Duration = known.sum();
-        if offer.account.is_none() {
-            return own + known.min((own + offer.cost) * STARTS_PER_UNKNOWN);
-        }
-        let unknown = self.lanes.get(&None);
-        let unknown = unknown.map_or(Duration::ZERO, |lane| {
-            let out_of_turn = (own + known) / STARTS_PER_UNKNOWN;
-            let in_turn = self.lane_cost_ahead(offer, start_tag, &None);
-            lane.queued_cost(true).min(in_turn.max(out_of_turn))
-        });
-        own + known + unknown
-    }
-
     /// Returns the expected service time of the work that starts before an offer in its own lane.
     fn own_cost_ahead(&self, offer: &QueueEntry, key: &LaneKey) -> Duration {
         let Some(lane) = self.lanes.get(&offer.account) else {
@@ -314,25 +305,45 @@
         let own_tag = own.map_or(Duration::ZERO, |lane| lane.virtual_time);
         own_tag.max(self.lowest_virtual_time()) + own_ahead
     }
+}
 
-    /// Returns the expected service time of the work of another account that starts before an offer
-    /// with the given start tag.
-    fn lane_cost_ahead(
-        &self,
-        offer: &QueueEntry,
-        start_tag: Duration,
-        other: &LaneAccount,
-    ) -> Duration {
-        let Some(lane) = self.lanes.get(other) else {
-            return Duration::ZERO;
-        };
-        let lane_tag = lane.virtual_time;
-        if lane_tag > start_tag {
-            return Duration::ZERO;
+/// Queued work that may start before work of one account, priority and lateness.
+#[derive(Debug)]
+struct WorkAhead<'a> {
+    /// Start tag behind no work of the own lane.
+    first_tag: Duration,
+    is_unknown: bool,
+    /// Lanes of the other known accounts of the priority.
+    known: Vec<&'a AccountLane>,
+    /// Lane without an account, if it is another one.
+    unknown: Option<&'a AccountLane>,
+    /// Expected service time of the work of other priorities that starts before.
+    other_first: Duration,
+    /// Expected service time of the remaining work of other priorities.
+    other: Duration,
+}
+
+impl WorkAhead<'_> {
+    /// Returns the expected service time of the work that starts before work of the given cost behind
+    /// `own` of service time in its own lane.
+    fn cost(&self, own: Duration, cost: Duration) -> Duration {
+        let first = self.other_first + self.cost_in_priority(own, cost);
+        first + self.other.min(first / (STARTS_PER_TURN - 1))
+    }
+
+    fn cost_in_priority(&self, own: Duration, cost: Duration) -> Duration {
+        let start_tag = self.first_tag + own;
+        let known = self.known.iter();
+        let known: Duration = known.map(|lane| lane.cost_ahead(start_tag, cost)).sum();
+        if self.is_unknown {
+            return own + known.min((own + cost) * STARTS_PER_UNKNOWN);
         }
-        // The lane also starts the work that passes the start tag of the offer.
-        let until_tag = start_tag.saturating_sub(lane_tag);
-        lane.queued_cost(true).min(until_tag + offer.cost)
+        let unknown = self.unknown.map_or(Duration::ZERO, |lane| {
+            let out_of_turn = (own + known) / STARTS_PER_UNKNOWN;
+            let in_turn = lane.cost_ahead(start_tag, cost);
+            lane.queued_cost(true).min(in_turn.max(out_of_turn))
+        });
+        own + known + unknown
     }
 }
 
@@ -535,25 +546,49 @@
     /// Divided by the number of slots, this is its expected wait behind the current runs.
     #[must_use]
     pub fn cost_ahead(&self, offer: &QueueEntry) -> Duration {
-        let key = offer.key(u64::MAX);
-        let (mut first, mut other) = (Duration::ZERO, Duration::ZERO);
+        let lanes = self.priorities.get(&offer.priority);
+        let own = lanes.map(|lanes| lanes.own_cost_ahead(offer, &offer.key(u64::MAX)));
+        self.work_ahead(offer)
+            .cost(own.unwrap_or_default(), offer.cost)
+    }
+
+    fn work_ahead(&self, offer: &QueueEntry) -> WorkAhead<'_> {
+        let is_late = offer.objective_start.is_none();
+        let mut work = WorkAhead {
+            first_tag: Duration::ZERO,
+            is_unknown: offer.account.is_none(),
+            known: Vec::new(),
+            unknown: None,
+            other_first: Duration::ZERO,
+            other: Duration::ZERO,
+        };
         for (priority, lanes) in &self.priorities {
             if *priority == offer.priority {
-                first += lanes.cost_ahead(offer, &key);
+                work.first_tag = lanes.start_tag(offer, Duration::ZERO);
+                for (account, lane) in &lanes.lanes {
+                    if *account == offer.account || lane.queued.is_empty() {
+                        continue;
+                    }
+                    if account.is_some() {
+                        work.known.push(lane);
+                    } else {
+                        work.unknown = Some(lane);
+                    }
+                }
                 continue;
             }
             for lane in lanes.lanes.values() {
-                let with_late = key.is_late && *priority > offer.priority;
-                let ahead = if key.is_late || *priority > offer.priority {
+                let with_late = is_late && *priority > offer.priority;
+                let ahead = if is_late || *priority > offer.priority {
                     lane.queued_cost(with_late)
                 } else {
                     Duration::ZERO
                 };
-                first += ahead;
-                other += lane.queued_cost(true).saturating_sub(ahead);
+                work.other_first += ahead;
+                work.other += lane.queued_cost(true).saturating_sub(ahead);
             }
         }
-        first + other.min(first / (STARTS_PER_TURN - 1))
+        work
     }
 
     /// Returns the number of requests that start before an offer in its own lane.
@@ -563,11 +598,35 @@
         lane.map_or(0, |lane| lane.queued.range(..offer.key(u64::MAX)).count())
     }
 
-    /// Returns the queued work of the offer's own lane that starts after the offer, in order.
-    pub fn entries_behind(&self, offer: &QueueEntry) -> impl Iterator<Item = &QueueEntry> {
-        let behind = offer.key(u64::MAX);
-        let lane = self.lane_of(offer).into_iter();
-        lane.flat_map(move |lane| lane.queued.range(behind..).map(|(_, entry)| entry))
+    /// Returns the queued work of the offer's own lane that starts after the offer, in order, each with
+    /// the expected service time of the work that starts before it now. Late work behind an offer in
+    /// time is left out.
+    pub fn costs_behind(
+        &self,
+        offer: &QueueEntry,
+    ) -> impl Iterator<Item = (&QueueEntry, Duration)> {
+        let first = offer.key(u64::MAX);
+        let lane = self.lane_of(offer);
+        // Collected once. With a call of `cost_ahead` for each entry, an offer would take time with the
+        // square of the queue.
+        let work_ahead = self.work_ahead(offer);
+        let mut own = Duration::ZERO;
+        if let Some(lane) = lane {
+            own = lane
+                .queued
+                .range(..first)
+                .map(|(_, entry)| entry.cost)
+                .sum();
+        }
+        let behind = lane.into_iter();
+        let behind = behind.flat_map(move |lane| lane.queued.range(first..));
+        let behind = behind.take_while(move |(key, _)| key.is_late == first.is_late);
+        behind.map(move |(_, entry)| {
+            // The work itself is queued ahead of an offer with the same properties.
+            own += entry.cost;
+            let cost = work_ahead.cost(own, entry.cost);
+            (entry, cost.saturating_sub(entry.cost))
+        })
     }
 
     /// Returns by how much the start tag of an offer exceeds the virtual time of its priority. Zero if
@@ -658,7 +717,7 @@
             let weight = lanes.weight(account);
             let mut surplus = usage.saturating_sub(share).mul_f64(weight);
             // Work of the lane that starts after the offer has to go first, without an effect.
-            let counted = lanes.lane_cost_ahead(offer, start_tag, account);
+            let counted = lane.cost_ahead(start_tag, offer.cost);
             let mut uncounted = lane.queued_cost(true).saturating_sub(counted);
             let mut entries: Vec<_> = lane.queued.iter().collect();
             entries.sort_by_key(|(key, _)| std::cmp::Reverse((key.is_late, key.sequence)));
--- a/crates/limits/tests/fair_gate.rs
+++ b/crates/limits/tests/fair_gate.rs
@@ -1,7 +1,7 @@
 //! Tests for the deadline gate whose waiting work is shared among client accounts, in virtual time.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use proptest::prelude::{ProptestConfig, any, proptest};
 use proptest::test_runner::RngSeed;
@@ -394,3 +394,46 @@
         "all that waits is refused in the end"
     );
 }
+
+/// Returns the shortest of several times that an offer takes at a gate with work of 74 accounts, of
+/// which one has `waiting` requests in time with later objectives.
+fn shortest_offer(waiting: u64) -> Duration {
+    let mut gate = gate_with(SLOTS, 1000);
+    let mut out = Vec::new();
+    for work in 0..u64::from(SLOTS) + 73 {
+        let account = format!("account-{:02}", work % 73);
+        gate.offer(
+            at(0),
+            WorkId(work),
+            class(&account, 60_000_000, 90_000_000),
+            &mut out,
+        );
+    }
+    for work in 1000..1000 + waiting {
+        let decision = gate.offer(
+            at(0),
+            WorkId(work),
+            class("large", 60_000_000 + work, 90_000_000),
+            &mut out,
+        );
+        assert_eq!(decision, GateDecision::Queued);
+    }
+    let times = (0..20).map(|_| {
+        let offered = class("large", 50_000_000, 90_000_000);
+        let since = Instant::now();
+        gate.offer(at(0), WorkId(5000), offered, &mut out);
+        let time = since.elapsed();
+        assert!(gate.cancel(at(0), WorkId(5000)));
+        time
+    });
+    times.min().unwrap_or_default()
+}
+
+// Guards against offers whose processor time grows with the product of queue and accounts, or with the
+// square of the queue. The times are the shortest of several, which other load hardly changes.
+#[test]
+fn offer_before_a_long_lane_takes_little_time() {
+    let (short, long) = (shortest_offer(10), shortest_offer(320));
+    println!("behind 10 requests {short:?}, behind 320 requests {long:?}");
+    assert!(long < short * 20, "{short:?}, {long:?}");
+}
--- a/crates/limits/tests/fair_queue.rs
+++ b/crates/limits/tests/fair_queue.rs
@@ -577,3 +577,40 @@
         assert_eq!(queue.lane_count(), 0);
     }
 }
+
+// Guards against a cost ahead of waiting work that differs from the one by which that work was
+// accepted.
+#[test]
+fn cost_ahead_of_waiting_work_is_that_of_an_offer() {
+    let mut queue = FairQueue::new(QUEUE);
+    for number in 0..300_u32 {
+        let work = u64::from(number);
+        let name = if work % 7 == 0 {
+            None
+        } else {
+            account(number % 5)
+        };
+        let mut waiting = entry(work, name, 4 + u8::from(number % 11 > 4));
+        waiting.objective_start = (work % 6 > 0).then(|| secs(100 + work * 37 % 300));
+        waiting.deadline_start = secs(1000 + work);
+        waiting.cost = Duration::from_millis(300 + work % 13 * 100);
+        assert!(queue.push(secs(0), waiting));
+    }
+    for _ in 0..40 {
+        queue.pop(secs(0));
+    }
+    let mut compared = 0;
+    for name in [None, account(0), account(1), account(4)] {
+        for objective in [Some(secs(50)), Some(secs(250)), None] {
+            let mut offer = entry(1000, name.clone(), 5);
+            offer.objective_start = objective;
+            offer.deadline_start = secs(500);
+            for (behind, cost) in queue.costs_behind(&offer) {
+                assert_eq!(behind.objective_start.is_none(), objective.is_none());
+                assert_eq!(cost, queue.cost_ahead(behind).saturating_sub(behind.cost));
+                compared += 1;
+            }
+        }
+    }
+    assert!(compared > 30, "{compared}");
+}
