--- a/crates/limits/tests/fair_queue.rs
+++ b/crates/limits/tests/fair_queue.rs
@@ -318,6 +318,47 @@
     }
 }
 
+// Guards against a lowest priority that loses each of its places to the one above it, which then has
+// all places that are reserved for lower priorities.
+#[test]
+fn lowest_priority_keeps_places_beside_a_crowded_one_above_it() {
+    for seed in SEEDS {
+        let sources = [
+            (account(0), 9, 100.0),
+            (account(1), 5, 60.0),
+            (account(2), 1, 10.0),
+        ];
+        let mut simulation = QueueSimulation::new(seed, &sources);
+        simulation.run_for(secs(120));
+        let counts = simulation.sources.iter().map(|source| source.counts);
+        let started: Vec<u32> = counts.map(|counts| counts.started).collect();
+        println!("seed {seed}: started {started:?}");
+        let total: u32 = started.iter().sum();
+        assert!(started[1] > total / 50, "{started:?}");
+        assert!(started[2] > total / 50, "{started:?}");
+    }
+}
+
+// Guards against an offer that is refused because its priority has exactly its part of the places,
+// although another account of that priority holds all of them.
+#[test]
+fn account_gets_a_place_within_the_part_of_its_priority() {
+    for others in [0, 20] {
+        let mut queue = FairQueue::new(QUEUE);
+        for work in 0..40 - others {
+            assert!(queue.push(secs(0), entry(work, account(1), 5)));
+        }
+        for work in 40 - others..40 {
+            assert!(queue.push(secs(0), entry(work, account(2), 1)));
+        }
+        for work in 40..400 {
+            assert!(queue.push(secs(0), entry(work, account(0), 9)));
+        }
+        let offer = entry(400, account(3), 5);
+        assert_eq!(queue.displaced_by(&offer), Some(WorkId(39 - others)));
+    }
+}
+
 // Guards against calls of backend servers, which have no known account, that wait behind all of the
 // accounts although a run waits for each of them.
 #[test]
@@ -536,3 +577,40 @@
         assert_eq!(queue.lane_count(), 0);
     }
 }
+
+// Guards against a cost ahead of waiting work that differs from the one by which that work was
+// accepted.
+#[test]
+fn cost_ahead_of_waiting_work_is_that_of_an_offer() {
+    let mut queue = FairQueue::new(QUEUE);
+    for number in 0..300_u32 {
+        let work = u64::from(number);
+        let name = if work % 7 == 0 {
+            None
+        } else {
+            account(number % 5)
+        };
+        let mut waiting = entry(work, name, 4 + u8::from(number % 11 > 4));
+        waiting.objective_start = (work % 6 > 0).then(|| secs(100 + work * 37 % 300));
+        waiting.deadline_start = secs(1000 + work);
+        waiting.cost = Duration::from_millis(300 + work % 13 * 100);
+        assert!(queue.push(secs(0), waiting));
+    }
+    for _ in 0..40 {
+        queue.pop(secs(0));
+    }
+    let mut compared = 0;
+    for name in [None, account(0), account(1), account(4)] {
+        for objective in [Some(secs(50)), Some(secs(250)), None] {
+            let mut offer = entry(1000, name.clone(), 5);
+            offer.objective_start = objective;
+            offer.deadline_start = secs(500);
+            for (behind, cost) in queue.costs_behind(&offer) {
+                assert_eq!(behind.objective_start.is_none(), objective.is_none());
+                assert_eq!(cost, queue.cost_ahead(behind).saturating_sub(behind.cost));
+                compared += 1;
+            }
+        }
+    }
+    assert!(compared > 30, "{compared}");
+}
