--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -25,6 +25,7 @@
 use tokio::sync::mpsc;
 
 use crate::callers::CallerCommand;
+use crate::clock_watch::ClockWatch;
 use crate::inbox::DecisionInput;
 use crate::log_thread::LogCommand;
 use crate::memory::MemoryAccount;
@@ -71,6 +72,7 @@
 pub struct DecisionLoop {
     engine: NodeEngine,
     clock: Arc<dyn NodeClock>,
+    clock_watch: ClockWatch,
     inbox: RingReceiver<DecisionInput>,
     outputs: DecisionOutputs,
     notes: NoteRecorder,
@@ -101,12 +103,14 @@
             &outputs.telemetry,
             outputs.memory.clone(),
         );
+        let clock_watch = ClockWatch::new(clock.now(), clock.wall());
         let gossip = MetricTags::new().with("kind", "gossip");
         let registry = &outputs.telemetry.registry;
         let gossip_bytes = registry.counter(MetricName::ControlBytesSent, &gossip);
         Self {
             engine,
             clock,
+            clock_watch,
             inbox,
             outputs,
             notes,
@@ -171,6 +175,9 @@
 
     fn handle_event(&mut self, event: NodeEvent) {
         let started_at = self.clock.now();
+        if self.clock_watch.has_paused(started_at, self.clock.wall()) {
+            self.apply_event(started_at, NodeEvent::Resumed);
+        }
         let kind = event_kind(&event);
         self.apply_event(started_at, event);
         let took = self.clock.now().saturating_sub(started_at);
@@ -277,7 +284,12 @@
                 let incarnation = incarnation.0;
                 self.send_log(LogCommand::RecordIncarnation { incarnation });
             }
-            NodeCommand::ContractsChanged => self.notes.refresh_objectives(self.engine.table()),
+            NodeCommand::ContractsChanged => {
+                self.notes.refresh_objectives(self.engine.table());
+                self.outputs
+                    .memory
+                    .enforce(self.engine.queues_by_deadline());
+            }
             NodeCommand::Drained => self.outputs.drained.store(true, Ordering::Release),
             NodeCommand::Note(note) => {
                 if let Some(request) = self.notes.record(now, &note) {
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -10,10 +10,12 @@
 mod attempts;
 mod audit;
 mod findings;
+mod loans;
 mod objectives;
 mod periodic;
 mod requests;
 mod roster;
+mod waits;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -21,6 +23,7 @@
 use sycamorelink_contract::RouteTable;
 use sycamorelink_core::{InstanceId, RequestId, ServiceName, UpstreamId};
 use sycamorelink_engine::NodeNote;
+use sycamorelink_limits::LimitChange;
 use sycamorelink_telemetry::burn::{AlertTracker, BurnQuery};
 use sycamorelink_telemetry::reach::PartitionMonitor;
 use sycamorelink_telemetry::{BurnLedger, BurnReport, EventCode, EventFields, MetricName};
@@ -138,6 +141,16 @@
                 rate,
                 limited_for,
             } => self.record_server_limit(id, service, *rate, *limited_for),
+            NodeNote::ConcurrencyLimitChanged {
+                id,
+                service,
+                change,
+            } => self.emit_limit_change(id, service, change),
+            NodeNote::LoanAsked { .. }
+            | NodeNote::LoanAnswered { .. }
+            | NodeNote::LoanReceived { .. }
+            | NodeNote::LoanDropped { .. }
+            | NodeNote::LoanEnded { .. } => self.record_loan(note),
             NodeNote::UpstreamLeaving { id, service } => {
                 self.emit_upstream(EventCode::UpstreamLeaving, id, service);
             }
@@ -169,6 +182,16 @@
             NodeNote::UpstreamGone { id, service } => {
                 self.emit_upstream(EventCode::UpstreamGone, id, service);
             }
+            NodeNote::CapacityReportInvalid {
+                from,
+                service,
+                id,
+                error,
+            } => {
+                let fields = EventFields::new().peer(from).service(service);
+                let fields = fields.upstream(id).reason(error);
+                self.emit(EventCode::CapacityReportInvalid, &fields);
+            }
             _ => self.record_request_progress(note),
         }
         None
@@ -199,6 +222,16 @@
             | NodeNote::WorkDecided { .. }
             | NodeNote::WorkBecameLate { .. }
             | NodeNote::WorkDone { .. } => self.record_attempt(note),
+            NodeNote::ReturnAdvised {
+                request,
+                service,
+                advice,
+                outlook,
+            } => self.record_advice((request, service), *advice, outlook),
+            NodeNote::WaitStarted { .. }
+            | NodeNote::WaitReleased { .. }
+            | NodeNote::WaitEnded { .. }
+            | NodeNote::DecliningChanged { .. } => self.record_wait(note),
             NodeNote::HedgeSent {
                 request,
                 service,
@@ -382,6 +415,22 @@
         }
     }
 
+    fn emit_limit_change(&self, id: &UpstreamId, service: &ServiceName, change: &LimitChange) {
+        let reason = format!(
+            "from {}: {}, concurrency {:.1}, run time {}ms of {} runs, gain {:.3}, error {:.3}",
+            change.from,
+            change.cause.as_str(),
+            change.concurrency,
+            change.mean_run.as_millis(),
+            change.samples,
+            change.gain,
+            change.gain_error,
+        );
+        let fields = EventFields::new().upstream(id).service(service);
+        let fields = fields.limit(&change.to).reason(&reason);
+        self.emit(EventCode::ConcurrencyLimitChanged, &fields);
+    }
+
     fn emit_upstream(&self, code: EventCode, id: &UpstreamId, service: &ServiceName) {
         self.emit(code, &EventFields::new().upstream(id).service(service));
     }
--- a/crates/daemon/src/notes/attempts.rs
+++ b/crates/daemon/src/notes/attempts.rs
@@ -4,7 +4,7 @@
 use sycamorelink_core::ServiceName;
 use sycamorelink_engine::{NodeNote, QueueStep, RepeatBudgetView};
 use sycamorelink_limits::QueuePlace;
-use sycamorelink_policy::UpstreamView;
+use sycamorelink_policy::{ExpectedTime, UpstreamView};
 use sycamorelink_telemetry::{EventCode, EventFields, MetricName};
 
 use super::NoteRecorder;
@@ -22,11 +22,13 @@
                 version,
                 left,
                 view,
+                expected,
             } => {
                 let reason = format!(
-                    "attempt {number}, route {prefix}, {}",
+                    "attempt {number}, route {prefix}, {}{}",
                     view.as_ref()
-                        .map_or_else(|| "no view".to_owned(), view_text)
+                        .map_or_else(|| "no view".to_owned(), view_text),
+                    expected.as_ref().map_or_else(String::new, expected_text)
                 );
                 let left = format!("{}ms", left.as_millis());
                 let fields = EventFields::new().request(label).service(service);
@@ -113,6 +115,7 @@
             Some(QueueStep::Declined(_)) => MetricName::QueueDeclined,
             Some(QueueStep::Expired) => MetricName::QueueExpired,
             Some(QueueStep::Displaced) => MetricName::QueueDisplaced,
+            Some(QueueStep::DisplacedByShare) => MetricName::QueueDisplacedByShare,
         };
         self.increment(SeriesKey::of(name).service(service));
     }
@@ -124,6 +127,9 @@
         QueueStep::Declined(place) => format!(", not queued {}", place_text(place)),
         QueueStep::Expired => ", deadline lost in the queue".to_owned(),
         QueueStep::Displaced => ", removed from the full queue".to_owned(),
+        QueueStep::DisplacedByShare => {
+            ", removed from the queue because its account is above its share".to_owned()
+        }
     }
 }
 
@@ -133,7 +139,10 @@
         || "work in time takes every slot".to_owned(),
         |wait| format!("expected wait {}ms", wait.as_millis()),
     );
-    format!("behind {} {standing}, {wait}", place.position)
+    let lane = place.in_lane.map_or_else(String::new, |ahead| {
+        format!(", {ahead} ahead in the lane of its account")
+    });
+    format!("behind {} {standing}, {wait}{lane}", place.position)
 }
 
 fn repeat_budget_text(budget: RepeatBudgetView) -> String {
@@ -141,6 +150,15 @@
     format!(", repeat ({left} left at this server, {servers} servers known)")
 }
 
+fn expected_text(expected: &ExpectedTime) -> String {
+    format!(
+        ", expected wait {}ms and run {}ms by information of {}ms ago",
+        expected.wait.as_millis(),
+        expected.run.as_millis(),
+        expected.age.as_millis()
+    )
+}
+
 fn view_text(view: &UpstreamView) -> String {
     let reported = view.told.map_or_else(
         || "nothing told".to_owned(),
--- a/crates/daemon/src/notes/periodic.rs
+++ b/crates/daemon/src/notes/periodic.rs
@@ -47,6 +47,7 @@
         if offset >= self.missing_head {
             self.set_gauge(MetricName::ContractLag, 0);
         }
+        self.update_wait_gauges(engine);
         let mut loads: BTreeMap<ServiceName, (u64, u64)> = BTreeMap::new();
         for (_, announced, load) in engine.local_upstreams() {
             let (used, queued) = loads.entry(announced.service).or_default();
@@ -59,7 +60,15 @@
             let key = SeriesKey::of(MetricName::QueueLength).service(service);
             self.metrics.set(key, *queued);
         }
+        for status in engine.capacity_status() {
+            let key = SeriesKey::of(MetricName::CapacityRecords).service(&status.service);
+            self.metrics.set(key, status.records as u64);
+            let oldest = u64::try_from(status.oldest.as_millis()).unwrap_or(u64::MAX);
+            let key = SeriesKey::of(MetricName::CapacityAge).service(&status.service);
+            self.metrics.set(key, oldest);
+        }
         self.update_queue_gauges(engine);
+        self.update_speed_gauges(engine);
         if self.memory.limit().is_some() {
             self.set_gauge(MetricName::MemoryHeld, self.memory.used());
         }
@@ -83,6 +92,26 @@
         }
     }
 
+    /// Updates the learned limits and run times of the local backend servers. They keep their last
+    /// values when the limit is switched off.
+    fn update_speed_gauges(&mut self, engine: &NodeEngine) {
+        let mut speeds: BTreeMap<ServiceName, (u64, Duration, u32)> = BTreeMap::new();
+        for status in engine.server_speeds() {
+            let (limit, time, count) = speeds.entry(status.service).or_default();
+            *limit += u64::from(status.limit);
+            *time += status.mean_run;
+            *count += 1;
+        }
+        for (service, (limit, time, count)) in &speeds {
+            let key = SeriesKey::of(MetricName::ConcurrencyLimit).service(service);
+            self.metrics.set(key, *limit);
+            let mean_run = (*time / *count).as_millis();
+            let key = SeriesKey::of(MetricName::MeanRunTime).service(service);
+            self.metrics
+                .set(key, u64::try_from(mean_run).unwrap_or(u64::MAX));
+        }
+    }
+
     fn update_member_gauges(&mut self, engine: &NodeEngine) {
         let status = engine.status();
         self.set_gauge(MetricName::KeysHeld, status.guard.keys as u64);
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -8,6 +8,7 @@
 use sycamorelink_policy::{PolicyMechanism, ServicePool};
 
 use crate::budgets::budget_entry;
+use crate::capacity::soonest_terms;
 use crate::command::{AttemptOrder, NodeCommand};
 use crate::event::{ArrivalKind, WorkTerms};
 use crate::node::{NodeEngine, TimerPurpose};
@@ -55,9 +56,14 @@
         self.ensure_pool(now, &service);
         self.pool_used.insert(service.clone(), now);
         self.avoided_upstreams.retain(|_, until| *until > now);
+        let by_time = by_cost && self.prepare_capacity(now, &service);
         let state = self.requests.get(&id)?;
         let kind = state.rule.work_kind();
+        let soonest_terms = soonest_terms(now, state);
+        let table = self.capacity.tables.get(&service).filter(|_| by_time);
+        let spills = self.uses_overload_mechanism(PolicyMechanism::DomainSpillover);
         let pool = self.pools.get_mut(&service)?;
+        pool.spill_over(spills);
         let tried = state.plan.exclude();
         let tried = tried.as_slice();
         let excluded: Vec<UpstreamId> = tried
@@ -73,14 +79,18 @@
             if seeks_trial && let Some(avoided) = pool.pick_trial(now, exclude, kind) {
                 return Some(avoided);
             }
-            if by_cost {
+            if let Some(table) = table {
+                pool.pick_soonest(now, table, exclude, &soonest_terms)
+            } else if by_cost {
                 pool.pick_cheapest(now, exclude, kind)
             } else {
                 pool.pick(now, exclude)
             }
         };
         let first = (excluded.len() > tried.len()).then(|| pick(&excluded));
-        let upstream = first.flatten().or_else(|| pick(tried))?;
+        let untried = first.flatten().or_else(|| pick(tried));
+        let again = state.plan.may_try_again();
+        let upstream = untried.or_else(|| again.then(|| pick(&[])).flatten())?;
         let executor = self.instance_of(upstream.node)?;
         Some((upstream, executor))
     }
@@ -167,6 +177,10 @@
         id: RequestId,
         out: &mut Vec<NodeCommand>,
     ) {
+        if let Some(refusal) = self.overload_refusal(now, id, None) {
+            self.refuse(now, id, refusal, out);
+            return;
+        }
         let Some((upstream, _)) = self.select_upstream(now, id) else {
             self.refuse_no_upstream(now, id, out);
             return;
@@ -185,10 +199,12 @@
     ) {
         let own = self.own.instance.node;
         let sends_terms = self.uses_overload_mechanism(PolicyMechanism::DeadlineQueue);
+        let latest_start = self.latest_start_to_leave();
         let address = self.address_of(upstream.node);
         let Some(executor) = self.instance_of(upstream.node) else {
             return;
         };
+        let expected = self.expected_time(now, id, upstream);
         let Some(state) = self.requests.get_mut(&id) else {
             return;
         };
@@ -207,6 +223,9 @@
         if let Some(pool) = self.pools.get_mut(&state.rule.service) {
             pool.sent(now, upstream);
         }
+        if let Some(table) = self.capacity.tables.get_mut(&state.rule.service) {
+            table.sent(now, upstream);
+        }
         let order = AttemptOrder {
             attempt: AttemptId {
                 request: id,
@@ -228,7 +247,11 @@
             reply_buffer: usize::try_from(state.rule.reply_buffer).unwrap_or(usize::MAX),
             trial_fit: is_trial_fit(state),
             insist,
-            patience: max_slot_wait(now, state),
+            patience: if sends_terms {
+                latest_start.map(|at| at.saturating_sub(now))
+            } else {
+                max_slot_wait(now, state)
+            },
             kind: state.rule.work_kind(),
             arrival: arrival_kind(state),
             terms: sends_terms.then(|| work_terms(now, state)),
@@ -245,6 +268,7 @@
                 .pools
                 .get(&order.service)
                 .and_then(|pool| pool.upstream_view(now, upstream)),
+            expected,
         }));
         out.push(NodeCommand::Dispatch(Box::new(order)));
     }
@@ -317,12 +341,16 @@
     Some(latest.saturating_sub(now))
 }
 
+/// Returns the terms for the executor. A call has the account and the objective of the run that made it.
 fn work_terms(now: Duration, state: &RequestState) -> WorkTerms {
     let objective = state.rule.objective;
-    let objective_at = objective.map(|objective| state.arrived + objective.latency);
+    let own_objective = objective.map(|objective| state.arrived + objective.latency);
+    let called_by = state.called_by.as_ref();
+    let objective_at = called_by.and_then(|run| run.objective).or(own_objective);
+    let own_account = state.account.as_ref().map(|rule| rule.name().clone());
     WorkTerms {
         objective_left: objective_at.map(|at| at.saturating_sub(now)),
-        account: state.account.as_ref().map(|rule| rule.name().clone()),
+        account: own_account.or_else(|| called_by.and_then(|run| run.account.clone())),
     }
 }
 
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -24,9 +24,10 @@
 use crate::node::{HandoverState, NodeEngine};
 use crate::note::NodeNote;
 use crate::request::{WorkPhase, WorkState};
+use crate::server_speed::RunUse;
 
 /// Lowest HTTP status that counts as a server error.
-const SERVER_ERROR: u16 = 500;
+pub(crate) const SERVER_ERROR: u16 = 500;
 /// Retry delay given for an upstream that is gone, leaving or suspect.
 const UPSTREAM_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -38,7 +39,7 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let work = offer.work;
-        let state = WorkState {
+        let mut state = WorkState {
             deadline: now + offer.time_left,
             phase: WorkPhase::Queued,
             offered: now,
@@ -48,25 +49,30 @@
             connection_lost: false,
             on_trial: false,
             queue_step: None,
+            repeat: None,
             offer,
         };
         let slot = state.offer.slot;
         let service = state.offer.service.clone();
         let attempt = state.offer.attempt;
         let signature = state.signature();
-        if state.offer.arrival == ArrivalKind::Repeat
-            && !self.withdraw_repeat(now, slot, state.offer.kind)
-        {
-            let refusal = RequestRefusal::not_run(RefusalCode::RepeatsSpent);
-            let refused = (Some(refusal.code), None);
-            self.note_offer_decision(&state.offer, refused, state.offer.time_left, out);
-            let load = self.load_of(slot);
-            out.push(NodeCommand::RefuseWork {
-                work,
-                refusal,
-                load,
-            });
-            return;
+        if state.offer.arrival == ArrivalKind::Repeat {
+            match self.withdraw_repeat(now, slot, state.offer.kind) {
+                Ok(repeat) => state.repeat = repeat,
+                Err(code) => {
+                    let refusal = RequestRefusal::not_run(code);
+                    let left = state.offer.time_left;
+                    self.note_offer_decision(&state.offer, (Some(code), None), left, out);
+                    let load = self.load_of(slot);
+                    out.push(NodeCommand::RefuseWork {
+                        work,
+                        refusal,
+                        load,
+                    });
+                    self.ask_for_repeats(now, slot, out);
+                    return;
+                }
+            }
         }
         self.works.insert(work, state);
         if !self.serves(slot, &service) {
@@ -180,12 +186,15 @@
     }
 
     fn start_work(&mut self, now: Duration, work: WorkId, out: &mut Vec<NodeCommand>) {
+        if !self.count_arrival(now, work) {
+            self.refuse_at_start(now, work, out);
+            return;
+        }
         let Some(state) = self.works.get_mut(&work) else {
             return;
         };
         state.phase = WorkPhase::Running;
         state.started = now;
-        self.count_arrival(now, work);
         let Some(state) = self.works.get(&work) else {
             return;
         };
@@ -206,11 +215,22 @@
         if let Some(upstream) = self.upstreams.get_mut(&slot) {
             upstream.breaker.started(now, work.0, kind, allowed);
         }
-        self.mark_fence(now, attempt, FenceMark::Begun);
+        self.mark_begun(now, attempt, allowed);
         self.note_work_decision(work, None, out);
         out.push(NodeCommand::RunWork { work, life });
     }
 
+    /// Refuses work that got a slot after its loan of a repeat ended and no other repeat was left.
+    fn refuse_at_start(&mut self, now: Duration, work: WorkId, out: &mut Vec<NodeCommand>) {
+        let slot = self.works.get(&work).map(|state| state.offer.slot);
+        let mut commands = Vec::new();
+        if let Some(upstream) = slot.and_then(|slot| self.upstreams.get_mut(&slot)) {
+            upstream.gate.released(now, work, &mut commands);
+        }
+        self.refuse_unstarted(now, work, RefusalCode::RepeatsSpent, None, out);
+        self.on_gate_commands(now, commands, out);
+    }
+
     /// Records the end of a run in the pool of its service. This node observes every run on the
     /// local backend server, regardless of the sender, and so detects a gray failure before any
     /// caller's node could.
@@ -341,6 +361,10 @@
         let slot = state.offer.slot;
         let signature = state.signature();
         let on_turn = state.on_turn;
+        let run_use = self.run_use(now, report);
+        if run_use == RunUse::Concurrency {
+            self.learn_server_speed(now, report);
+        }
         self.note_work_end(now, report, out);
         // A server may turn a request away without the headers of its other answers, which says
         // nothing about its limit.
@@ -378,12 +402,13 @@
         self.note_if_idle(slot, out);
         let mut commands = Vec::new();
         if let Some(upstream) = self.upstreams.get_mut(&slot) {
-            // An end without a reply, such as a reset connection, says nothing about the duration
-            // of work.
-            if report.end == WorkEnd::Replied {
-                upstream.gate.finished(now, work, &mut commands);
-            } else {
+            if run_use == RunUse::RunTime {
+                upstream.gate.exclude_run(now, work);
+            }
+            if run_use == RunUse::None {
                 upstream.gate.released(now, work, &mut commands);
+            } else {
+                upstream.gate.finished(now, work, &mut commands);
             }
         }
         self.note_queue_events(now, slot, out);
@@ -397,8 +422,16 @@
             if upstream.closes_at.is_some_and(|at| at <= now) && !upstream.gate.is_closed() {
                 upstream.gate.close();
                 closed.push(*slot);
+                continue;
             }
             upstream.gate.tick(now, &mut commands);
+            if let Some(change) = upstream.gate.take_limit_change() {
+                out.push(NodeCommand::Note(NodeNote::ConcurrencyLimitChanged {
+                    id: upstream_id(self.own.instance, *slot),
+                    service: upstream.announced.service.clone(),
+                    change,
+                }));
+            }
         }
         // Work queued for a leaving backend server could be forwarded to it seconds after its
         // departure was acknowledged. When the gate closes, queued work is refused as not run, so
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -28,7 +28,7 @@
 use crate::request::{RequestPhase, RequestState};
 
 /// Retry delay given to callers that a leaving or starting node refuses.
-const NODE_RETRY_DELAY: Duration = Duration::from_millis(500);
+pub(crate) const NODE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum time that a request waits for a share of its customer's limits.
 const MAX_SHARE_WAIT: Duration = Duration::from_secs(1);
 
@@ -70,6 +70,8 @@
                     status: None,
                     latency: Duration::ZERO,
                     attempts: 0,
+                    overloaded_offers: 0,
+                    forecast: None,
                 };
                 out.push(NodeCommand::Refuse {
                     request: id,
@@ -95,7 +97,8 @@
                 RequestRefusal::not_run(RefusalCode::NotReady).retry_after(NODE_RETRY_DELAY)
             );
         }
-        let (customer, rule, account) = self.route_of(&caller).map_err(RequestRefusal::not_run)?;
+        let (customer, mut rule, account) =
+            self.route_of(&caller).map_err(RequestRefusal::not_run)?;
         if caller
             .body_length
             .is_some_and(|length| length > rule.max_body)
@@ -105,13 +108,21 @@
         let key =
             idempotency_key_of(&rule, caller.key.as_deref()).map_err(RequestRefusal::not_run)?;
         if let Some(account) = &account {
-            self.withdraw_quota(now, account)?;
+            let withdrawn = self.withdraw_quota(now, account);
+            withdrawn.inspect_err(|refusal| {
+                self.count_refusal(now, &rule.service, refusal.code, Some(account.name()));
+            })?;
         }
         let time = caller
             .time_left
             .map_or(rule.deadline, |left| left.min(rule.deadline));
         let idempotent = rule.repeat == RepeatClass::Idempotent;
-        let first_arrival = self.first_arrival(&rule.service, account.is_some());
+        let called_by = self.calling_run(now, &caller, &rule.service);
+        let first_arrival =
+            self.first_arrival(&rule.service, account.is_some(), called_by.as_ref());
+        if let Some(run) = &called_by {
+            rule.priority = run.priority;
+        }
         let signature = CrashSignature::of(
             rule.terms.customer.as_str(),
             &format!("{} {}", caller.method, caller.target),
@@ -138,7 +149,12 @@
             uncertain: 0,
             arrivals: 0,
             first_arrival,
+            called_by,
             repeats_refused: 0,
+            overloaded_offers: 0,
+            forecast: None,
+            overloaded: 0,
+            wait: None,
             last: None,
             last_upstream: None,
             crashed_twice: false,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -20,8 +20,11 @@
 
 mod agreement;
 mod announcing;
+mod attribution;
 mod breaker;
 mod budgets;
+mod caller_queue;
+mod capacity;
 mod command;
 mod completion;
 mod contact;
@@ -49,15 +52,21 @@
 mod node;
 mod note;
 mod overload;
+mod overload_status;
 mod pools;
 mod pulling;
 mod quotas;
+mod recall;
+mod repeat_loans;
 mod repeats;
 mod request;
+mod returns;
 mod server_notices;
+mod server_speed;
 mod settings;
 mod status;
 
+pub use capacity::{CapacityStatus, RefusedForecast};
 pub use command::{AttemptOrder, NodeCommand};
 pub use event::{
     ArrivalKind, AttemptReport, CallerRequest, LifeId, LimitNotice, LogEntry, LogStream, NodeEvent,
@@ -68,7 +77,10 @@
 pub use limit_records::LimitedServer;
 pub use message::{ContractAsk, PeerMessage};
 pub use node::NodeEngine;
-pub use note::{NodeNote, QueueStep, RequestSummary};
+pub use note::{NodeNote, QueueStep, RequestSummary, WaitEnd};
+pub use overload_status::{OverloadStatus, QueueStatus, WaitStatus};
+pub use repeat_loans::RepeatLoanMessage;
 pub use repeats::RepeatBudgetView;
+pub use server_speed::ServerSpeedStatus;
 pub use settings::{EngineSettings, LEAVE_SERVING};
 pub use status::{MemberStatus, NodeStatus, ServiceStatus, UpstreamStatus};
--- a/crates/engine/src/local_upstream.rs
+++ b/crates/engine/src/local_upstream.rs
@@ -2,29 +2,42 @@
 
 use std::time::Duration;
 
-use sycamorelink_limits::AdmissionGate;
+use sycamorelink_limits::{AdmissionGate, LearnedRuns, RepeatBooks, ServerSpeed};
 use sycamorelink_policy::UpstreamBreaker;
 
 use crate::event::{LifeId, UpstreamAnnouncement};
 use crate::health::ReportedHealth;
 use crate::leaving::life_of;
-use crate::repeats::RepeatBudgets;
 use crate::server_notices::ServerLimit;
 
 /// Maximum number of ended incarnations remembered per backend server. A delayed announcement
 /// arrives seconds after the end of its sender, and an incarnation lasts longer than that.
 const MAX_ENDED_LIVES: usize = 8;
 
+/// Kind of the gate in front of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum GateKind {
+    /// A slot gate, without overload control.
+    Slots,
+    /// A deadline gate with one lane for all work.
+    Deadline,
+    /// A deadline gate that shares the waiting work among client accounts.
+    Accounts,
+}
+
 /// State of a backend server beside this node.
 #[derive(Debug)]
 pub(crate) struct LocalUpstream {
     pub(crate) announced: UpstreamAnnouncement,
     pub(crate) gate: Box<dyn AdmissionGate>,
-    /// Whether the gate is a deadline gate.
-    pub(crate) queues_by_deadline: bool,
+    pub(crate) gate_kind: GateKind,
+    /// What a former deadline gate has learned, while the gate is a slot gate.
+    pub(crate) learned: Option<LearnedRuns>,
+    /// Run times of this incarnation relative to those of its service.
+    pub(crate) speed: ServerSpeed,
     pub(crate) breaker: UpstreamBreaker,
     /// Budget of repeats that the server may be given; `None` before the first repeat.
-    pub(crate) repeats: Option<RepeatBudgets>,
+    pub(crate) repeats: Option<RepeatBooks>,
     /// Limit on the requests that the server gets, as last reported by it.
     pub(crate) limit: Option<ServerLimit>,
     /// Whether the server has answered this incarnation of the node.
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -7,11 +7,12 @@
 use sycamorelink_core::{AttemptId, CustomerName, InstanceId, ServiceName, UpstreamId};
 use sycamorelink_guard::GuardMessage;
 use sycamorelink_limits::{CrashMessage, QuotaMessage, ShareMember, ShareMessage};
-use sycamorelink_policy::{LoadHint, UpstreamEvidence};
+use sycamorelink_policy::{CapacityRecord, LoadHint, UpstreamEvidence};
 use sycamorelink_roster::RosterMessage;
 
 use crate::leaving::LeavingMessage;
 use crate::limit_records::LimitedServer;
+use crate::repeat_loans::RepeatLoanMessage;
 
 /// A message between two nodes. Any message may be lost, duplicated or reordered.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -127,6 +128,15 @@
     ServerLimit(LimitedServer),
     /// The limits that the sender has stored for the receiver.
     StoredLimits(Vec<LimitedServer>),
+    /// The freshest capacity records that the sender knows. Sent only where overload control is on.
+    Capacity {
+        /// Service of the upstreams.
+        service: ServiceName,
+        /// Records of the sender's upstreams, and of those of other nodes.
+        records: Vec<CapacityRecord>,
+    },
+    /// Loans of repeats between backend servers. Only sent where overload control is on.
+    RepeatLoan(RepeatLoanMessage),
 }
 
 /// Contracts that a node requests from a peer.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -10,11 +10,14 @@
 use sycamorelink_guard::{GuardIdentity, GuardNode};
 use sycamorelink_limits::crash::CrashVictim;
 use sycamorelink_limits::{
-    CrashRegistry, CustomerIndex, HolderCount, RetryBudget, ShareMember, ShareNode, WorkId,
+    CrashRegistry, CustomerIndex, HolderCount, RefusalWindow, RetryBudget, ReturnPacer,
+    ServiceTimes, ShareMember, ShareNode, WorkId,
 };
 use sycamorelink_policy::{CallRates, ServicePool};
 use sycamorelink_roster::{MemberFacts, NodeRoster, RosterEvent};
 
+use crate::caller_queue::WaitState;
+use crate::capacity::CapacityExchange;
 use crate::command::NodeCommand;
 use crate::discovery::DiscoveryState;
 use crate::dispatch::OVERDUE_AVOIDANCE;
@@ -26,6 +29,7 @@
 use crate::limit_records::LimitRecords;
 use crate::local_upstream::LocalUpstream;
 use crate::quotas::QuotaState;
+use crate::repeat_loans::LoanState;
 use crate::request::{RequestState, WorkState};
 use crate::settings::EngineSettings;
 
@@ -91,6 +95,12 @@
     pub(crate) quotas: QuotaState,
     pub(crate) leaving_records: LeavingRecords,
     pub(crate) limit_records: LimitRecords,
+    pub(crate) capacity: CapacityExchange,
+    /// Sources of retry delays, by service. Only services of the contract have one.
+    pub(crate) return_pacers: BTreeMap<ServiceName, ReturnPacer>,
+    /// Run times of the services by kind, for the speed of the local backend servers.
+    pub(crate) service_times: BTreeMap<ServiceName, ServiceTimes>,
+    pub(crate) loans: LoanState,
     pub(crate) roster: NodeRoster,
     pub(crate) guard: GuardNode,
     pub(crate) shares: ShareNode,
@@ -106,6 +116,10 @@
     /// Upstreams of other nodes that are not selected for the moment, and until when.
     pub(crate) avoided_upstreams: BTreeMap<UpstreamId, Duration>,
     pub(crate) requests: BTreeMap<RequestId, RequestState>,
+    /// Requests that wait until a backend server is likely to accept them.
+    pub(crate) waits: WaitState,
+    /// Recent refusals to callers of this node, where overload control applies.
+    pub(crate) refusals: BTreeMap<ServiceName, RefusalWindow>,
     pub(crate) works: BTreeMap<WorkId, WorkState>,
     /// Work that waits for a turn to run, by the number of its request to the crash registry.
     pub(crate) awaiting_turn: BTreeMap<u64, WorkId>,
@@ -151,10 +165,12 @@
     leaving_ticks: u32,
     /// Whether peers were notified that this node ended.
     departed: bool,
+    /// When the waiting requests of this leaving node were recalled; `None` before.
+    pub(crate) recalled_at: Option<Duration>,
     /// Time of the latest event.
     pub(crate) now: Duration,
-    initial_seeds: Vec<SocketAddr>,
-    seeded: bool,
+    /// Gossip addresses of other nodes; `None` once the membership has them.
+    initial_seeds: Option<Vec<SocketAddr>>,
 }
 
 impl NodeEngine {
@@ -177,13 +193,16 @@
         let roster = NodeRoster::new(settings.roster.clone(), own.clone(), seed);
         let quotas = QuotaState::new(settings.quota, seed);
         let fleet = FleetState::new(settings.first_start, seed);
+        let loans = LoanState::new(own.instance, seed);
         let discovery = DiscoveryState::new(settings.first_start);
+        let capacity = CapacityExchange::new(own.instance.node, seed);
         let looks_up_leaving = settings.contracts == ContractMode::Fleet && !settings.first_start;
         let leaving_records = if looks_up_leaving {
             LeavingRecords::default()
         } else {
             LeavingRecords::without_lookup()
         };
+        let waits = WaitState::new(&settings.overload);
         Self {
             guard: GuardNode::new(identity, settings.guard.clone(), seed),
             shares: ShareNode::new(own.instance, settings.share.clone()),
@@ -201,6 +220,10 @@
             quotas,
             leaving_records,
             limit_records: LimitRecords::default(),
+            capacity,
+            return_pacers: BTreeMap::new(),
+            service_times: BTreeMap::new(),
+            loans,
             share_queue: BTreeMap::new(),
             pools: BTreeMap::new(),
             pool_used: BTreeMap::new(),
@@ -209,6 +232,8 @@
             fences: BTreeMap::new(),
             avoided_upstreams: BTreeMap::new(),
             requests: BTreeMap::new(),
+            waits,
+            refusals: BTreeMap::new(),
             works: BTreeMap::new(),
             awaiting_turn: BTreeMap::new(),
             held_failures: BTreeMap::new(),
@@ -243,16 +268,16 @@
             handover: HandoverState::default(),
             leaving_ticks: 0,
             departed: false,
+            recalled_at: None,
             now: Duration::ZERO,
-            initial_seeds: Vec::new(),
-            seeded: false,
+            initial_seeds: Some(Vec::new()),
         }
     }
 
     /// Sets the gossip addresses of other nodes through which this node joins the fleet.
     #[must_use]
     pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
-        self.initial_seeds = seeds;
+        self.initial_seeds = Some(seeds);
         self
     }
 
@@ -260,6 +285,7 @@
     /// commands to `out`.
     pub fn handle(&mut self, now: Duration, event: NodeEvent, out: &mut Vec<NodeCommand>) {
         self.now = now;
+        let earlier = out.len();
         match event {
             NodeEvent::Tick => self.on_tick(now, out),
             NodeEvent::RequestArrived(caller) => self.on_request(now, caller, out),
@@ -311,12 +337,17 @@
             NodeEvent::LogReachable(reachable) => self.on_log_reachable(now, reachable, out),
             NodeEvent::ContractReadBack { offset, bytes } => self.on_read_back(offset, &bytes),
             NodeEvent::DrainRequested => self.on_drain(now, out),
+            NodeEvent::Resumed => {
+                self.drop_capacity_records(now);
+                self.on_resumed(out);
+            }
             NodeEvent::Departed => {
                 self.departed = true;
                 self.handle_roster_event(now, RosterEvent::Depart, out);
             }
         }
         self.check_drained(now, out);
+        self.count_refusals(now, out.get(earlier..).unwrap_or_default());
     }
 
     /// Returns the time at which the next `Tick` is due, as time since the node started.
@@ -366,9 +397,7 @@
     }
 
     fn on_tick(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
-        if !self.seeded {
-            self.seeded = true;
-            let seeds = std::mem::take(&mut self.initial_seeds);
+        if let Some(seeds) = self.initial_seeds.take() {
             // Under a fleet contract the seeds come from a directory. If an empty list counted as
             // joined, the node would receive the whole membership only slowly.
             if !seeds.is_empty() || !self.uses_fleet_contract() {
@@ -410,6 +439,11 @@
             self.pull_fleet_contract(now, out);
             self.tick_quotas(now, out);
             self.tick_holder_counts(now);
+            self.tick_capacity(now, out);
+            self.tick_repeat_loans(now, out);
+            self.tick_caller_queue(now, out);
+            self.expire_refusals(now);
+            self.recall_waiting(now, out);
         } else {
             self.maintain_contracts(now, out);
             self.pull_contracts(now, out);
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -9,10 +9,13 @@
     UpstreamId,
 };
 use sycamorelink_guard::GuardNote;
-use sycamorelink_limits::QueuePlace;
-use sycamorelink_policy::{LoadHint, PoolFinding, SampleKind, UpstreamView};
+use sycamorelink_limits::{LimitChange, QueuePlace, ReturnAdvice, ServiceOutlook, WaitReason};
+use sycamorelink_policy::{
+    CapacityError, DeclineCounts, ExpectedTime, LoadHint, PoolFinding, SampleKind, UpstreamView,
+};
 use sycamorelink_roster::{DownCause, RosterNote};
 
+use crate::capacity::RefusedForecast;
 use crate::event::WorkEnd;
 use crate::repeats::RepeatBudgetView;
 
@@ -27,6 +30,9 @@
     Expired,
     /// The work is refused after waiting, since the queue was full and an offer sorts before it.
     Displaced,
+    /// The work is refused after waiting, since its account is above its share and an offer of
+    /// another account took its place.
+    DisplacedByShare,
 }
 
 /// Occurrences that the daemon records as numbered events.
@@ -52,6 +58,62 @@
         /// Service for which the retry was meant.
         service: ServiceName,
     },
+    /// A request waits until a backend server is likely to accept it.
+    WaitStarted {
+        /// Id of the request.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// Why the request waits.
+        reason: WaitReason,
+        /// Place in the order of all waiting requests, from 0.
+        place: usize,
+        /// Number of waiting requests, including this one.
+        waiting: usize,
+        /// Time left until the deadline.
+        left: Duration,
+        /// Time until the expected release; `None` if unknown.
+        expected: Option<Duration>,
+    },
+    /// A waiting request is sent to a backend server again.
+    WaitReleased {
+        /// Id of the request.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// Why the request waited.
+        reason: WaitReason,
+        /// Time that the request waited.
+        waited: Duration,
+        /// Time left until the deadline.
+        left: Duration,
+    },
+    /// A request ended while it waited.
+    WaitEnded {
+        /// Id of the request.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// Why the request waited.
+        reason: WaitReason,
+        /// Why the wait ended.
+        end: WaitEnd,
+        /// Time that the request waited.
+        waited: Duration,
+        /// Time left until the deadline.
+        left: Duration,
+    },
+    /// A service started to decline much of its work, or accepts work again.
+    DecliningChanged {
+        /// Name of the service.
+        service: ServiceName,
+        /// Whether the service declines from now on.
+        declining: bool,
+        /// Arrivals on which the decision is based.
+        counts: DeclineCounts,
+        /// Number of requests that wait, for any service.
+        waiting: usize,
+    },
     /// A second attempt was sent before the first one ended.
     HedgeSent {
         /// Id of the request.
@@ -162,6 +224,8 @@
         left: Duration,
         /// State of the upstream when it was selected; `None` if the pool did not know it.
         view: Option<UpstreamView>,
+        /// Expected time to the reply; `None` where no capacity reports are known.
+        expected: Option<ExpectedTime>,
     },
     /// The node beside an upstream accepted or refused offered work.
     WorkDecided {
@@ -351,11 +415,79 @@
         /// Time since it first reported a limit.
         limited_for: Duration,
     },
+    /// The learned concurrency limit of a local backend server changed.
+    ConcurrencyLimitChanged {
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// The change, and what it was decided from.
+        change: LimitChange,
+    },
     /// Work was refused at a backend server that limits the requests that it gets.
     ServerLimitHeld {
         /// Service of the upstream.
         service: ServiceName,
     },
+    /// A local backend server lacks repeats and asks another one for some.
+    LoanAsked {
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Node that is asked.
+        lender: InstanceId,
+        /// Number of repeats asked for.
+        wanted: u64,
+        /// Whole repeats left here.
+        balance: u64,
+        /// Repeats requested here in the last second.
+        demand: u64,
+    },
+    /// The local backend servers were asked for repeats. None were lent if `repeats` is 0.
+    LoanAnswered {
+        /// Service of the upstreams.
+        service: ServiceName,
+        /// Node that asked.
+        borrower: InstanceId,
+        /// Number of repeats asked for.
+        wanted: u32,
+        /// Number of repeats lent.
+        repeats: u32,
+        /// Whole repeats left here after that.
+        balance: u64,
+        /// Repeats requested here in the last second.
+        demand: u64,
+    },
+    /// A local backend server got the answer to its ask. None were lent if `repeats` is 0.
+    LoanReceived {
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Node that answered.
+        lender: InstanceId,
+        /// Number of repeats lent.
+        repeats: u32,
+        /// Whole repeats left here, with the borrowed ones.
+        balance: u64,
+    },
+    /// A message about a loan was dropped.
+    LoanDropped {
+        /// Service of the upstreams.
+        service: ServiceName,
+        /// Sender.
+        from: InstanceId,
+        /// Why it was dropped.
+        reason: String,
+    },
+    /// Borrowed repeats were not used before their loan ended.
+    LoanEnded {
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Number of repeats.
+        repeats: u64,
+    },
     /// A local backend server is leaving.
     UpstreamLeaving {
         /// Id of the upstream.
@@ -384,6 +516,58 @@
         /// Service of the upstream.
         service: ServiceName,
     },
+    /// A refused caller was advised when to retry.
+    ReturnAdvised {
+        /// Request id given by the caller, or the one that the fleet generated.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// The advice.
+        advice: ReturnAdvice,
+        /// Capacity of the service that the advice is based on.
+        outlook: ServiceOutlook,
+    },
+    /// A peer sent an implausible capacity record, which was dropped. At most one per second and
+    /// sender.
+    CapacityReportInvalid {
+        /// Sender of the report, which need not be the node beside the upstream.
+        from: InstanceId,
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// The implausible value.
+        error: CapacityError,
+    },
+}
+
+/// Why the wait of a request ended without a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitEnd {
+    /// The time left does not suffice for a run.
+    Expired,
+    /// The queue was full, and a request went before this one.
+    Displaced,
+    /// The caller disconnected.
+    CallerGone,
+    /// The node started to drain.
+    Draining,
+    /// A new contract switched the caller queue off.
+    SwitchedOff,
+}
+
+impl WaitEnd {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Expired => "expired",
+            Self::Displaced => "displaced",
+            Self::CallerGone => "caller-gone",
+            Self::Draining => "draining",
+            Self::SwitchedOff => "switched-off",
+        }
+    }
 }
 
 /// The outcome of one request.
@@ -405,4 +589,8 @@
     pub latency: std::time::Duration,
     /// Number of attempts that were sent.
     pub attempts: u16,
+    /// Number of attempts that were refused as overloaded by the node beside the upstream.
+    pub overloaded_offers: u16,
+    /// The forecast that refused the request; `None` otherwise.
+    pub forecast: Option<RefusedForecast>,
 }
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -6,9 +6,11 @@
 use sycamorelink_contract::{AccountRule, CustomerRule, RouteRule};
 use sycamorelink_core::{AttemptId, InstanceId, RequestRefusal, UpstreamId};
 use sycamorelink_guard::{DispatchTicket, KeyId};
-use sycamorelink_limits::{CrashSignature, CustomerIndex};
+use sycamorelink_limits::{CrashSignature, CustomerIndex, RepeatOrigin, WaitReason};
 use sycamorelink_policy::RetryPlan;
 
+use crate::attribution::CallingRun;
+use crate::capacity::RefusedForecast;
 use crate::event::{ArrivalKind, AttemptReport, CallerRequest, LifeId, WorkOffer};
 use crate::note::QueueStep;
 
@@ -25,6 +27,8 @@
     Dispatched,
     /// Waiting for the executor's answer about the outcome of the only attempt.
     Resolving,
+    /// Waiting until a backend server is likely to accept the request.
+    AwaitingCapacity,
 }
 
 /// An attempt that has not ended.
@@ -88,8 +92,18 @@
     pub arrivals: u16,
     /// Kind of the first arrival at a backend server, for the bound on repeats.
     pub first_arrival: ArrivalKind,
+    /// Run on a local backend server that made the request as a call; `None` if none is known.
+    pub(crate) called_by: Option<CallingRun>,
     /// Number of attempts that an executor refused because of the bound on repeats.
     pub repeats_refused: u16,
+    /// Number of attempts that an executor refused as overloaded.
+    pub overloaded_offers: u16,
+    /// The forecast that refused the request; `None` otherwise.
+    pub forecast: Option<RefusedForecast>,
+    /// Number of attempts that an executor refused as `overloaded` since the last wait.
+    pub overloaded: u16,
+    /// Reason for the latest wait in the caller queue; `None` if the request never waited.
+    pub wait: Option<WaitReason>,
     /// Last failed attempt, from which the final answer is made.
     pub last: Option<AttemptReport>,
     /// Upstream of the last failed attempt.
@@ -163,6 +177,8 @@
     pub on_trial: bool,
     /// Latest decision of a deadline queue that is not reported yet.
     pub queue_step: Option<QueueStep>,
+    /// What the work was withdrawn from as a repeat; `None` if it is no repeat or is not counted.
+    pub repeat: Option<RepeatOrigin>,
 }
 
 impl WorkState {
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -16,15 +16,17 @@
     ChangeAction, ChangeId, ContractChange, ContractVersion, FleetContract, samples,
 };
 use sycamorelink_core::{
-    AttemptId, CustomerName, InstanceId, NodeId, NodeIncarnation, RequestId, RunState, ServiceName,
+    AttemptId, CustomerName, InstanceId, NodeId, NodeIncarnation, RefusalCode, RequestId, RunState,
+    ServiceName, UpstreamId,
 };
 use sycamorelink_engine::{
     AttemptOrder, AttemptReport, CallerRequest, ContractAsk, ContractMode, EngineSettings,
-    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, PeerMessage, ServerNotice,
-    UpstreamAnnouncement, WorkEnd, WorkOffer, WorkReport,
+    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, NodeNote, PeerMessage,
+    RefusedForecast, RepeatLoanMessage, RequestSummary, ServerNotice, UpstreamAnnouncement,
+    WorkEnd, WorkOffer, WorkReport,
 };
 use sycamorelink_guard::KeyFingerprint;
-use sycamorelink_limits::{OverloadSettings, WorkId};
+use sycamorelink_limits::{LimitChange, OverloadSettings, WorkId};
 use sycamorelink_policy::{PolicyMechanism, SampleKind, UpstreamPhase};
 use sycamorelink_roster::MemberFacts;
 
@@ -57,6 +59,8 @@
     pub time: Duration,
     /// What it reports about itself in its replies.
     pub notice: ServerNotice,
+    /// Percentage of its work that it declines.
+    pub declined_percent: u32,
 }
 
 impl Default for BackendScript {
@@ -66,6 +70,7 @@
             status: 200,
             time: SERVICE_TIME,
             notice: ServerNotice::default(),
+            declined_percent: 0,
         }
     }
 }
@@ -98,6 +103,8 @@
     pub jitter: u64,
     /// Whether gossip datagrams are lost.
     pub gossip_lost: bool,
+    /// Whether capacity reports are lost.
+    pub capacity_lost: bool,
     /// Percentage of appends that are repeated because their reply was lost.
     pub duplicated_appends: u32,
     /// Nodes of an older build, which cannot read requests for patches.
@@ -122,6 +129,12 @@
     pub scripts: BTreeMap<NodeId, BackendScript>,
     /// Number of runs of each request, counted at the backend servers.
     pub runs: BTreeMap<RequestId, u32>,
+    /// Number of the counted runs that a backend server declined.
+    pub declines: BTreeMap<RequestId, u32>,
+    /// Final answer of each request, and its time.
+    pub answers: BTreeMap<RequestId, (Duration, RequestSummary)>,
+    /// Time at which each request was first released from a caller queue.
+    pub releases: BTreeMap<RequestId, Duration>,
     /// Times at which each node's backend server was given work.
     pub arrivals: BTreeMap<NodeId, Vec<Duration>>,
     /// Injected faults.
@@ -130,6 +143,14 @@
     uplinks_busy_until: BTreeMap<NodeId, Duration>,
     /// The same for the link of each node that receives them.
     downlinks_busy_until: BTreeMap<NodeId, Duration>,
+    /// Bytes of the capacity reports that each node sent.
+    pub capacity_bytes: BTreeMap<NodeId, usize>,
+    /// Events about invalid capacity reports, with the upstream that each names.
+    pub invalid_reports: Vec<UpstreamId>,
+    /// Changes of the learned concurrency limits.
+    pub limit_changes: Vec<(UpstreamId, LimitChange)>,
+    /// Forecasts that refused requests.
+    pub forecasts: BTreeMap<RequestId, RefusedForecast>,
     /// Number of requests for the fleet contract as JSON.
     pub json_pulls: u32,
     /// Number of contract requests that each node received.
@@ -140,16 +161,16 @@
     domains: Option<u8>,
     /// Whether the whole fleet starts for the first time.
     first_start: bool,
-    /// Gossip limit of each node in bytes per second; `None` for the default.
-    gossip_bytes: Option<u32>,
+    /// Settings of each node, apart from those that the fields here determine.
+    settings: EngineSettings,
+    /// All attempts that the nodes ordered.
+    pub orders: Vec<AttemptOrder>,
     /// The fleet contract that nodes start with; `None` when per-customer contracts are in the log.
     fleet: Option<Arc<FleetContract>>,
-    /// Settings of overload control of each node.
-    overload: OverloadSettings,
-    /// Policy mechanisms that are switched off at each node.
-    policy_off: BTreeSet<PolicyMechanism>,
     /// Frozen nodes, with the events that wait for them.
     frozen: BTreeMap<NodeId, Vec<NodeEvent>>,
+    /// Messages about loans of repeats, with the time at which they were sent.
+    pub loan_messages: Vec<(Duration, NodeId, RepeatLoanMessage)>,
     /// When the current incarnation of each node started.
     started_at: BTreeMap<NodeId, Duration>,
     cursors: BTreeMap<(NodeId, LogStream), usize>,
@@ -192,7 +213,7 @@
     /// Starts a fleet for the first time, while its contract is not at its source yet. Each node
     /// finds the nodes started before it in the directory.
     pub fn start_fleet_first(domains: u8, count: u8) -> Self {
-        let mut world = Self::start_all(0, None, Some(domains), None);
+        let mut world = Self::start_all(0, None, Some(domains), EngineSettings::default());
         world.first_start = true;
         for number in 0..count {
             world.start_node(number, 1);
@@ -204,7 +225,37 @@
 
     /// Starts nodes under a fleet contract with a gossip limit in bytes per second for each node.
     pub fn start_fleet_with_gossip(count: u8, contract: FleetContract, bytes: u32) -> Self {
-        Self::start_all(count, Some(Arc::new(contract)), None, Some(bytes))
+        let mut settings = EngineSettings::default();
+        settings.roster.bytes_per_second = bytes;
+        settings.roster.burst_bytes = bytes;
+        Self::start_all(count, Some(Arc::new(contract)), None, settings)
+    }
+
+    /// Starts nodes with these settings under a fleet contract, spread over a number of failure
+    /// domains.
+    pub fn start_fleet_with(
+        domains: u8,
+        count: u8,
+        contract: FleetContract,
+        settings: EngineSettings,
+    ) -> Self {
+        Self::start_all(count, Some(Arc::new(contract)), Some(domains), settings)
+    }
+
+    /// Starts nodes under a fleet contract with changed settings.
+    pub fn start_fleet_adjusted(
+        count: u8,
+        contract: FleetContract,
+        adjust: fn(&mut EngineSettings),
+    ) -> Self {
+        let mut settings = EngineSettings::default();
+        adjust(&mut settings);
+        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, settings);
+        for number in 0..count {
+            world.add_node(number, 1);
+        }
+        world.run_for(Duration::from_secs(8));
+        world
     }
 
     /// Starts nodes under a fleet contract, spread over a number of failure domains.
@@ -220,9 +271,12 @@
         overload: OverloadSettings,
         policy_off: &[PolicyMechanism],
     ) -> Self {
-        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, None);
-        world.overload = overload;
-        world.policy_off = policy_off.iter().copied().collect();
+        let mut settings = EngineSettings {
+            overload,
+            ..EngineSettings::default()
+        };
+        settings.policy.off = policy_off.iter().copied().collect();
+        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, settings);
         world.trace_paused = true;
         for number in 0..count {
             world.add_node(number, 1);
@@ -232,15 +286,35 @@
         world
     }
 
+    /// Starts nodes under a fleet contract that control overload where the contract has a route
+    /// with at least this objective, each with gossip, messages and random numbers from a seed of
+    /// its own.
+    pub fn start_fleet_with_loans(
+        count: u8,
+        contract: FleetContract,
+        objective_from: Option<Duration>,
+        off: &[PolicyMechanism],
+    ) -> Self {
+        let mut settings = EngineSettings::default();
+        settings.overload.objective_from = objective_from;
+        settings.policy.off = off.iter().copied().collect();
+        let mut world = Self::start_all(0, Some(Arc::new(contract)), None, settings);
+        world.rng = SmallRng::seed_from_u64(u64::from(count));
+        for number in 0..count {
+            world.add_node(number, 1);
+        }
+        world
+    }
+
     fn start_with(count: u8, fleet: Option<Arc<FleetContract>>, domains: Option<u8>) -> Self {
-        Self::start_all(count, fleet, domains, None)
+        Self::start_all(count, fleet, domains, EngineSettings::default())
     }
 
     fn start_all(
         count: u8,
         fleet: Option<Arc<FleetContract>>,
         domains: Option<u8>,
-        gossip_bytes: Option<u32>,
+        settings: EngineSettings,
     ) -> Self {
         let mut world = Self {
             now: Duration::ZERO,
@@ -255,20 +329,27 @@
             log_reachable: true,
             scripts: BTreeMap::new(),
             runs: BTreeMap::new(),
+            declines: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            releases: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             network: NetworkFaults::default(),
             uplinks_busy_until: BTreeMap::new(),
             downlinks_busy_until: BTreeMap::new(),
+            capacity_bytes: BTreeMap::new(),
+            invalid_reports: Vec::new(),
+            limit_changes: Vec::new(),
+            forecasts: BTreeMap::new(),
             json_pulls: 0,
             pulls: BTreeMap::new(),
             followers: BTreeSet::new(),
             domains,
             fleet,
             first_start: false,
-            gossip_bytes,
-            overload: OverloadSettings::default(),
-            policy_off: BTreeSet::new(),
+            settings,
+            orders: Vec::new(),
             frozen: BTreeMap::new(),
+            loan_messages: Vec::new(),
             started_at: BTreeMap::new(),
             cursors: BTreeMap::new(),
             crashed_backends: BTreeSet::new(),
@@ -280,13 +361,28 @@
             trace_paused: true,
             trace: Vec::new(),
         };
-        world.append(LogStream::Contracts, sample_change());
+        world.start_nodes(count);
+        world
+    }
+
+    /// Starts nodes under a fleet contract, with overload control from an objective on.
+    pub fn start_fleet_controlled(
+        count: u8,
+        contract: FleetContract,
+        objective_from: Duration,
+    ) -> Self {
+        let mut settings = EngineSettings::default();
+        settings.overload.objective_from = Some(objective_from);
+        Self::start_all(count, Some(Arc::new(contract)), None, settings)
+    }
+
+    fn start_nodes(&mut self, count: u8) {
+        self.append(LogStream::Contracts, sample_change());
         for number in 0..count {
-            world.add_node(number, 1);
+            self.add_node(number, 1);
         }
-        world.run_for(Duration::from_secs(8));
-        world.trace_paused = false;
-        world
+        self.run_for(Duration::from_secs(8));
+        self.trace_paused = false;
     }
 
     /// Starts a node without stored state, and announces its backend server.
@@ -317,18 +413,12 @@
         let wall = WALL + self.now;
         let mut settings = EngineSettings {
             first_start: self.first_start,
-            ..EngineSettings::default()
+            ..self.settings.clone()
         };
         if self.fleet.is_some() || self.first_start {
             settings.contracts = ContractMode::Fleet;
             settings.gate.warm_up = Duration::ZERO;
         }
-        settings.overload = self.overload.clone();
-        settings.policy.off.clone_from(&self.policy_off);
-        if let Some(bytes) = self.gossip_bytes {
-            settings.roster.bytes_per_second = bytes;
-            settings.roster.burst_bytes = bytes;
-        }
         let engine = NodeEngine::new(facts, settings, wall, seed);
         self.started_at.insert(id, self.now);
         self.crashed_backends.remove(&id);
@@ -440,20 +530,20 @@
         target: &str,
         key: Option<&str>,
     ) {
+        self.send_caller(name, caller_request(number, method, target, key));
+    }
+
+    /// Sends a caller's request whose body is too large to be kept for another attempt.
+    pub fn call_streamed(&mut self, name: &str, number: u128, method: &str, target: &str) {
         let caller = CallerRequest {
-            label: Arc::from(number.to_string()),
-            id: RequestId(number),
-            token: Arc::from(TOKEN),
-            account_key: None,
-            method: Arc::from(method),
-            host: Arc::from(""),
-            path: Arc::from(target),
-            target: Arc::from(target),
-            key: key.map(Arc::from),
-            body_length: Some(7),
-            replayable: true,
-            time_left: None,
+            replayable: false,
+            ..caller_request(number, method, target, None)
         };
+        self.send_caller(name, caller);
+    }
+
+    /// Sends a caller's request to a node.
+    pub fn send_caller(&mut self, name: &str, caller: CallerRequest) {
         self.audit.on_request(self.now, node(name), &caller);
         self.feed(node(name), NodeEvent::RequestArrived(caller));
     }
@@ -522,7 +612,15 @@
                 };
                 self.schedule(Duration::ZERO, QueuedItem::Event(id, Box::new(event)));
             }
-            NodeCommand::Dispatch(order) => self.offer(id, *order),
+            NodeCommand::Dispatch(order) => {
+                self.orders.push((*order).clone());
+                self.offer(id, *order);
+            }
+            NodeCommand::Note(NodeNote::RequestSettled(summary)) => {
+                let forecast = summary.forecast.map(|forecast| (summary.request, forecast));
+                self.forecasts.extend(forecast);
+                self.answers.insert(summary.request, (self.now, summary));
+            }
             NodeCommand::RunWork { work, .. } => {
                 let script = self.script(id);
                 self.arrivals.entry(id).or_default().push(self.now);
@@ -556,33 +654,17 @@
                 self.release(id);
             }
             NodeCommand::CancelAttempt { attempt } => self.cancel(id, attempt),
-            NodeCommand::SendPeer { to, message, .. } => {
-                if let PeerMessage::ContractPull {
-                    ask: ContractAsk::Fleet { .. },
-                } = message
-                {
-                    self.json_pulls += 1;
-                }
-                if matches!(message, PeerMessage::ContractPull { .. }) {
-                    *self.pulls.entry(to.node).or_default() += 1;
-                }
-                let current = self.engines.get(&to.node).map(NodeEngine::own_instance);
-                let Some(delay) = self
-                    .link_delay(id, to.node, true)
-                    .filter(|_| current == Some(to))
-                else {
-                    return;
-                };
-                if is_patch_pull(&message) && self.network.without_patches.contains(&to.node) {
-                    return;
-                }
-                let delay = delay + self.transfer_time(id, to.node, &message);
-                let event = NodeEvent::PeerReceived {
-                    from: self.engines[&id].own_instance(),
-                    message,
-                };
-                self.schedule(delay, QueuedItem::Event(to.node, Box::new(event)));
+            NodeCommand::Note(NodeNote::WaitReleased { request, .. }) => {
+                let number: u128 = request.parse().expect("labels are numbers");
+                self.releases.entry(RequestId(number)).or_insert(self.now);
+            }
+            NodeCommand::Note(NodeNote::ConcurrencyLimitChanged { id, change, .. }) => {
+                self.limit_changes.push((id, change));
+            }
+            NodeCommand::Note(NodeNote::CapacityReportInvalid { id, .. }) => {
+                self.invalid_reports.push(id);
             }
+            NodeCommand::SendPeer { to, message, .. } => self.send_message(id, to, message),
             NodeCommand::SendDatagram { to, message } => {
                 let from = self.addresses.iter().find(|(_, node)| **node == id);
                 let from = from.map(|(address, _)| *address);
@@ -612,6 +694,44 @@
         }
     }
 
+    fn send_message(&mut self, id: NodeId, to: InstanceId, message: PeerMessage) {
+        if let PeerMessage::RepeatLoan(loan) = &message {
+            self.loan_messages.push((self.now, id, loan.clone()));
+        }
+        if let PeerMessage::Capacity { .. } = message {
+            let bytes = self.capacity_bytes.entry(id).or_default();
+            *bytes += encoded_size(&message);
+            if self.network.capacity_lost {
+                return;
+            }
+        }
+        if let PeerMessage::ContractPull {
+            ask: ContractAsk::Fleet { .. },
+        } = message
+        {
+            self.json_pulls += 1;
+        }
+        if matches!(message, PeerMessage::ContractPull { .. }) {
+            *self.pulls.entry(to.node).or_default() += 1;
+        }
+        let current = self.engines.get(&to.node).map(NodeEngine::own_instance);
+        let Some(delay) = self
+            .link_delay(id, to.node, true)
+            .filter(|_| current == Some(to))
+        else {
+            return;
+        };
+        if is_patch_pull(&message) && self.network.without_patches.contains(&to.node) {
+            return;
+        }
+        let delay = delay + self.transfer_time(id, to.node, &message);
+        let event = NodeEvent::PeerReceived {
+            from: self.engines[&id].own_instance(),
+            message,
+        };
+        self.schedule(delay, QueuedItem::Event(to.node, Box::new(event)));
+    }
+
     fn append(&mut self, stream: LogStream, bytes: Vec<u8>) {
         if !self.log_reachable {
             return;
@@ -654,6 +774,34 @@
     }
 }
 
+/// Returns the bytes of a message between nodes.
+fn encoded_size(message: &PeerMessage) -> usize {
+    let encoded = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    encoded.map_or(0, |bytes| bytes.len())
+}
+
+pub fn caller_request(
+    number: u128,
+    method: &str,
+    target: &str,
+    key: Option<&str>,
+) -> CallerRequest {
+    CallerRequest {
+        label: Arc::from(number.to_string()),
+        id: RequestId(number),
+        token: Arc::from(TOKEN),
+        account_key: None,
+        method: Arc::from(method),
+        host: Arc::from(""),
+        path: Arc::from(target),
+        target: Arc::from(target),
+        key: key.map(Arc::from),
+        body_length: Some(7),
+        replayable: true,
+        time_left: None,
+    }
+}
+
 fn is_patch_pull(message: &PeerMessage) -> bool {
     let PeerMessage::ContractPull { ask } = message else {
         return false;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -29,7 +29,13 @@
     CrashSettings, CrashSignature, CrashVictim,
 };
 pub use holder_count::HolderCount;
-pub use overload::{DeadlineGate, OverloadSettings, QueueCount, QueueEvent, QueuePlace};
+pub use overload::{
+    CallerNeed, CallerQueue, ConcurrencyLimit, DeadlineGate, FairQueue, GrantError, JoinDecision,
+    LOAN_DURATION, LearnedRuns, LimitCause, LimitChange, LoanAsk, LoanAskHistory, LoanCandidate,
+    OverloadSettings, QueueCount, QueueEntry, QueueEvent, QueuePlace, RefusalSummary,
+    RefusalWindow, ReleasePace, RepeatBooks, RepeatOrigin, ReturnAdvice, ReturnPacer, RunEnd,
+    ServerSpeed, ServiceOutlook, ServiceTimes, WaitEntry, WaitReason, WaitTerms,
+};
 pub use quota::{
     AccountId, QuotaHolder, QuotaKeeper, QuotaMessage, QuotaSettings, QuotaTerms, ShareUpdate,
     UsageReport,
--- a/crates/limits/src/overload/gate_admission.rs
+++ b/crates/limits/src/overload/gate_admission.rs
@@ -9,8 +9,10 @@
     WorkClass, WorkId,
 };
 
+use super::concurrency::{LimitChange, RunEnd};
 use super::gate::{DeadlineGate, RunningWork, refused};
-use super::queue::{QueueCount, WaitingWork};
+use super::gate_limit::LearnedRuns;
+use super::queue::{QueueCount, WaitingWork, run_allowance};
 use super::queue_report::{QueueEvent, QueuePlace};
 
 impl AdmissionGate for DeadlineGate {
@@ -38,6 +40,7 @@
             if now <= offered.latest_start() {
                 self.inflow.record(now, offered.cost());
             }
+            self.queue.started(now, &offered);
             self.occupy_slot(now, &offered);
             return GateDecision::Run;
         }
@@ -47,6 +50,22 @@
         self.enqueue(now, offered, out)
     }
 
+    fn limit_queue_wait(
+        &self,
+        now: Duration,
+        class: WorkClass,
+        max_wait: Option<Duration>,
+    ) -> WorkClass {
+        let Some(max_wait) = max_wait else {
+            return class;
+        };
+        let allowance = run_allowance(self.costs.cost_of(class.kind, class.expected));
+        WorkClass {
+            deadline: class.deadline.min(now + max_wait + allowance),
+            ..class
+        }
+    }
+
     fn offered_place(&self) -> Option<QueuePlace> {
         self.offered_place
     }
@@ -61,17 +80,39 @@
 
     fn finished(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
         if let Some(run) = self.running.remove(&work) {
-            self.costs.record(run.kind, now.saturating_sub(run.since));
+            let service_time = now.saturating_sub(run.since);
+            self.queue.ended(work, service_time);
+            self.costs.record(run.kind, service_time);
             self.queue.update_costs(&self.costs);
         }
+        self.count_limited_end(now, work, RunEnd::Served);
         self.tick(now, out);
     }
 
     fn released(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
-        self.running.remove(&work);
+        if let Some(run) = self.running.remove(&work) {
+            self.queue.ended(work, now.saturating_sub(run.since));
+        }
+        self.count_limited_end(now, work, RunEnd::Excluded);
         self.tick(now, out);
     }
 
+    fn exclude_run(&mut self, now: Duration, work: WorkId) {
+        self.count_limited_end(now, work, RunEnd::Excluded);
+    }
+
+    fn take_limit_change(&mut self) -> Option<LimitChange> {
+        self.take_change()
+    }
+
+    fn take_learned(&mut self) -> Option<LearnedRuns> {
+        self.take_learned_runs()
+    }
+
+    fn put_learned(&mut self, now: Duration, learned: LearnedRuns) {
+        self.put_learned_runs(now, learned);
+    }
+
     fn cancelled(&mut self, now: Duration, work: WorkId, out: &mut Vec<GateCommand>) {
         self.released(now, work, out);
     }
@@ -82,8 +123,9 @@
 
     fn tick(&mut self, now: Duration, out: &mut Vec<GateCommand>) {
         self.expire(now, out);
+        self.tick_limit(now);
         while self.has_capacity(now)
-            && let Some(next) = self.queue.pop()
+            && let Some(next) = self.queue.pop(now)
         {
             self.occupy_slot(now, &next);
             out.push(GateCommand::Start { work: next.work() });
@@ -117,6 +159,8 @@
             slots,
             queued: queued.max(self.runs_within(permit_wait, slots)),
             closed: self.closed,
+            expected_wait: self.wait_in_time(now),
+            mean_run: self.costs.mean(),
         }
     }
 
@@ -140,12 +184,15 @@
     }
 
     fn adopt_running(&mut self, work: WorkId, class: WorkClass, since: Duration) {
+        let started = WaitingWork::new(work, &class, &self.costs);
+        self.queue.started(since, &started);
         let run = RunningWork {
             kind: class.kind,
             expected: class.expected,
             since,
         };
         self.running.insert(work, run);
+        self.count_adopted(since, work);
     }
 
     fn warm_up(&self) -> WarmUp {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 //! upstream: the upstream is *shifted*. Only a high score that stays high ejects it, and ejections
 //! never take more capacity than the floor allows.
 
+pub mod capacity;
 pub mod evidence;
 pub mod facts;
 pub mod finding;
@@ -36,6 +37,7 @@
 mod baseline;
 mod breaker;
 mod call_rates;
+mod declines;
 mod eject;
 mod exchange;
 mod failing_share;
@@ -48,12 +50,19 @@
 mod score;
 mod scoring;
 mod selection;
+mod soonest;
+mod spillover;
 mod tick;
 mod trials;
 mod weight;
 
 pub use breaker::{BreakerVerdict, UpstreamBreaker};
 pub use call_rates::{CallRates, OpenWork};
+pub use capacity::{
+    CapacityError, CapacityForecast, CapacityRecord, CapacityTable, ExpectedTime, ServiceCapacity,
+    select_freshest,
+};
+pub use declines::{DeclineCounts, DeclineMonitor};
 pub use evidence::{EvidenceRole, EvidenceScores, UpstreamEvidence};
 pub use facts::{UpstreamFacts, UpstreamPhase, UpstreamStanding, UpstreamView};
 pub use finding::{EjectionCause, PoolFinding};
@@ -63,3 +72,5 @@
 pub use retry::{AttemptOutcome, RetryDecision, RetryPlan};
 pub use sample::{LoadHint, SampleKind, UpstreamSample};
 pub use settings::{Leaning, PoolSettings};
+pub use soonest::SoonestTerms;
+pub use spillover::{DomainWaits, SpilloverShare};
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -136,6 +136,11 @@
     2019 WorkEnded Debug "work-ended" "work ended at the backend server beside this daemon";
     2020 WorkQueued Debug "work-queued" "work waits for a slot of the backend server beside this daemon";
     2021 WorkBecameLate Debug "work-became-late" "queued work can no longer meet its latency objective";
+    2022 RequestWaiting Debug "request-waiting" "a request waits until a backend server is likely to accept it";
+    2023 RequestReleased Debug "request-released" "a waiting request is sent to a backend server again";
+    2024 RequestExpired Debug "request-expired" "a request ended while it waited";
+
+    2025 RetryAdvised Debug "retry-advised" "a caller refused for lack of capacity was told when to retry";
 
     3001 UpstreamSuspected Info "upstream-suspected" "an upstream is doing worse than its peers or its own past";
     3002 WeightShifted Info "weight-shifted" "an upstream gets less work";
@@ -155,6 +160,7 @@
     3016 WorkReleased Info "work-released" "a backend server takes all work again";
     3017 RateLimitNamed Info "rate-limit-named" "a backend server limits the requests that it gets";
     3018 RateLimitEnded Info "rate-limit-ended" "a backend server no longer limits the requests that it gets";
+    3019 ConcurrencyLimitChanged Info "concurrency-limit-changed" "the learned limit on concurrent runs of a backend server changed";
 
     4001 KeyJoined Info "key-joined" "a resend of a running key waits for the first send";
     4002 KeyReplayed Debug "key-replayed" "a resend got the reply of the first send";
@@ -230,6 +236,14 @@
     8012 BurnSlow Warn "burn-slow" "a service burns its error budget faster than it can bear";
     8013 BurnEnded Info "burn-ended" "a service is back within its error budget";
     8014 MemoryExhausted Warn "memory-exhausted" "a request was refused because waiting requests and unread replies hold all memory for them";
+    8015 CapacityReportInvalid Warn "capacity-report-invalid" "a peer sent an implausible capacity report and it was dropped";
+    8016 RepeatsRequested Debug "repeats-requested" "a backend server lacks repeats and another one was asked for some";
+    8017 RepeatsLent Debug "repeats-lent" "a backend server lent repeats to another one";
+    8018 RepeatsRefused Debug "repeats-refused" "a backend server was asked for repeats and needs those that it has";
+    8019 RepeatsBorrowed Debug "repeats-borrowed" "a backend server got the answer to its question for repeats";
+    8020 LoanDropped Debug "loan-dropped" "a message about a loan of repeats was dropped";
+    8021 ServiceDeclining Warn "service-declining" "a service declines much of its work and declined requests wait";
+    8022 ServiceAccepting Info "service-accepting" "a service accepts work again and waiting requests are released";
 
     9001 PeerForeign Warn "peer-foreign" "a peer that is not of this fleet was refused";
     9002 PeerVersion Warn "peer-version" "a peer speaks an unknown version of the inner protocol";
--- a/crates/telemetry/src/event/entries/load.rs
+++ b/crates/telemetry/src/event/entries/load.rs
@@ -112,4 +112,67 @@
         action: "Look for callers that send bodies slowly or read replies slowly. If there are \
                 none, raise `limits.overload.memory` as far as the machine allows.",
     },
+    EventEntry {
+        code: EventCode::CapacityReportInvalid,
+        reserved: false,
+        meaning: "A capacity report of a peer names a limit, wait, run time or age that no backend \
+                server can have. `reason` is the value, `upstream` the backend server that it is \
+                about. The report was dropped and changed nothing.",
+        action: "Look at the daemon beside `upstream`: `peer` may only have passed the report on. \
+                Compare its build with the others.",
+    },
+    EventEntry {
+        code: EventCode::RepeatsRequested,
+        reserved: false,
+        meaning: "More repeats were requested from the backend server in the last second than it \
+                has left under the fleet's bound. It asks another server for unused ones.",
+        action: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::RepeatsLent,
+        reserved: false,
+        meaning: "Repeats that this instance does not need were lent for one second. They count \
+                here for 11 s, whether they are used or not.",
+        action: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::RepeatsRefused,
+        reserved: false,
+        meaning: "This instance has no repeats to spare beyond what is requested from it in a \
+                second.",
+        action: "Nothing for single ones. When all instances refuse, the fleet uses its bound on \
+                repeats fully.",
+    },
+    EventEntry {
+        code: EventCode::RepeatsBorrowed,
+        reserved: false,
+        meaning: "Another instance answered. Borrowed repeats may be used until one second after \
+                the question.",
+        action: "Nothing.",
+    },
+    EventEntry {
+        code: EventCode::LoanDropped,
+        reserved: false,
+        meaning: "The message was late, a duplicate, from another incarnation than the asked one, \
+                or implausible. Its repeats are lost for 11 s, and nothing else changes.",
+        action: "Nothing for single ones. When `reason` says that a number is implausible, compare \
+                the versions of both daemons.",
+    },
+    EventEntry {
+        code: EventCode::ServiceDeclining,
+        reserved: false,
+        meaning: "Three or more backend servers of the service answered that they did not run work, \
+                for 30% or more of the last arrivals from this daemon. `count` is the number of \
+                declined arrivals, `limit` that of all arrivals. Declined requests wait in place of \
+                being sent again.",
+        action: "Find out from the service's owner why its servers decline work. New requests are \
+                still sent, and show when the service accepts work again.",
+    },
+    EventEntry {
+        code: EventCode::ServiceAccepting,
+        reserved: false,
+        meaning: "Fewer than 10% of the last arrivals from this daemon were declined, or there were \
+                none for four seconds. `count` and `limit` are as with `SL8021`.",
+        action: "Nothing.",
+    },
 ];
--- a/crates/telemetry/src/metric/name.rs
+++ b/crates/telemetry/src/metric/name.rs
@@ -192,6 +192,34 @@
         "Requests refused at this instance at once, because they could neither be served in time nor late or the queue was full.";
     MemoryHeld Gauge "memory_held" "bytes" []
         "Bytes held for waiting requests and unread replies under overload control.";
+    CapacityRecords Gauge "capacity_records" "records" ["service"]
+        "Backend servers of the service whose capacity record is known and not expired.";
+    CapacityAge Gauge "capacity_age" "milliseconds" ["service"]
+        "Greatest age of a known capacity record of the service.";
+    ForecastRefused Counter "forecast_refused" "requests" ["service"]
+        "Requests refused without a further offer because no backend server could answer before the deadline.";
+    OverloadedOffers Counter "overloaded_offers" "attempts" ["service"]
+        "Attempts refused as overloaded by the daemon beside the backend server. Divided by `requests`, the offers in vain per request.";
+    RepeatsLent Counter "repeats_lent" "repeats" ["service"]
+        "Repeats that backend servers of this instance lent to others.";
+    RepeatsBorrowed Counter "repeats_borrowed" "repeats" ["service"]
+        "Repeats that backend servers of this instance borrowed from others.";
+    RepeatsUnused Counter "repeats_unused" "repeats" ["service"]
+        "Borrowed repeats that were not used before their loan ended.";
+    ReturnsAdvised Counter "returns_advised" "requests" ["service" "advice"]
+        "Callers refused for lack of capacity, by what they were told: after (a delay), late or never (no capacity is promised).";
+    CallersWaiting Gauge "callers_waiting" "requests" ["reason"]
+        "Requests that wait at the daemon that took them, by reason: declining (their service declines work), no-repeats or no-capacity. Only with overload control.";
+    CallersReleased Counter "callers_released" "requests" ["service" "reason"]
+        "Waiting requests that were sent to a backend server again, by the reason of the wait.";
+    CallersExpired Counter "callers_expired" "requests" ["service" "end"]
+        "Requests that ended while they waited: expired, displaced, caller-gone, draining or switched-off.";
+    ConcurrencyLimit Gauge "concurrency_limit" "runs" ["service"]
+        "Concurrent runs that the backend servers of this instance are given at most. Only where the limit is learned.";
+    MeanRunTime Gauge "mean_run_time" "milliseconds" ["service"]
+        "Mean run time at the backend servers of this instance. Only where the limit is learned.";
+    QueueDisplacedByShare Counter "queue_displaced_by_share" "requests" ["service"]
+        "Requests refused at this instance after waiting, because their client account was above its share and another took the place.";
 }
 
 /// Metrics that no code sends yet.
