--- a/crates/engine/src/returns.rs
+++ b/crates/engine/src/returns.rs
@@ -16,6 +16,9 @@
 use crate::node::NodeEngine;
 use crate::note::NodeNote;
 
+/// Delay of a refusal that names none and was not caused by full servers.
+const MIN_DELAY: Duration = Duration::from_millis(500);
+
 impl NodeEngine {
     /// Returns the refusal with a retry delay that follows the capacity of the service.
     ///
@@ -66,7 +69,15 @@
             outlook,
         }));
         match advice {
-            ReturnAdvice::After(delay) => refusal.retry_after(delay),
+            ReturnAdvice::After(delay) => {
+                // Suspect servers and spent repeats need their time even while slots are free.
+                let least = refusal.retry_after.unwrap_or(MIN_DELAY);
+                let least = match refusal.code {
+                    RefusalCode::Overloaded => Duration::ZERO,
+                    _ => least,
+                };
+                refusal.retry_after(delay.max(least))
+            }
             ReturnAdvice::Late(_) | ReturnAdvice::Never => {
                 RequestRefusal::not_run(RefusalCode::NoCapacity)
             }
