--- a/crates/engine/src/caller_queue.rs
+++ b/crates/engine/src/caller_queue.rs
@@ -7,8 +7,9 @@
 //! ```
 //!
 //! While a service declines, a declined request waits until it would soon miss its objective, and is
-//! then tried if the service accepts a part of its work. First arrivals are never held. A released request that reached a server before is sent as a
-//! repeat, so the node beside the server counts it towards the bound.
+//! then tried if the service accepts a part of its work. First arrivals are never held. A released
+//! request that reached a server before is sent as a repeat, so the node beside the server counts it
+//! towards the bound.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -156,12 +157,12 @@
                 let forecast = self.capacity_forecast(self.now, &service);
                 let state = self.requests.get(&id)?;
                 let left = state.deadline.saturating_sub(self.now);
-                let is_hopeless = forecast.is_some_and(|forecast| forecast.excess(left).is_some());
+                let is_too_late = forecast.is_some_and(|forecast| forecast.excess(left).is_some());
                 let short = is_short_of_capacity(state, forecast, self.now);
                 // A released request that meets full servers continues to wait as before, unless no
                 // server is expected to reply in its time.
                 let reason = state.wait.or(short.then_some(WaitReason::NoCapacity));
-                reason.filter(|_| !is_hopeless)
+                reason.filter(|_| !is_too_late)
             }
             _ => None,
         }
--- a/crates/engine/src/fencing.rs
+++ b/crates/engine/src/fencing.rs
@@ -124,8 +124,8 @@
             {
                 upstream.gate.cancel(now, work);
             }
-            // The peer does not receive this refusal, because the connection it would use is the
-            // broken one.
+            // A peer whose connection broke does not receive this refusal and waits for the answer
+            // below. One that recalls an attempt gets the refusal.
             self.refuse_unstarted(now, work, RefusalCode::Draining, None, out);
         }
         let begun = self.fence_mark(attempt) == Some(FenceMark::Begun);
--- a/crates/engine/src/fleet.rs
+++ b/crates/engine/src/fleet.rs
@@ -281,6 +281,8 @@
         let table = Arc::new(FleetTable::new(&contract));
         self.fleet.history.push(stamp, Arc::clone(&contract));
         self.fleet.longest_objective = longest_objective(&contract);
+        self.return_pacers
+            .retain(|service, _| contract.services.contains(service));
         self.fleet.current = Some((contract, table));
         out.push(NodeCommand::Note(NodeNote::FleetContractAdopted {
             version,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -96,7 +96,7 @@
     pub(crate) leaving_records: LeavingRecords,
     pub(crate) limit_records: LimitRecords,
     pub(crate) capacity: CapacityExchange,
-    /// Sources of retry delays, by service. Only services of the contract have one.
+    /// Sources of retry delays, by service of the contract in force.
     pub(crate) return_pacers: BTreeMap<ServiceName, ReturnPacer>,
     /// Run times of the services by kind, for the speed of the local backend servers.
     pub(crate) service_times: BTreeMap<ServiceName, ServiceTimes>,
