Send the whole body with every attempt, or make no further attempt

Callers saw 200 for a request whose backend server had read an empty body. A chunked body, or one beyond the replay limit, was streamed to the first attempt. The engine ordered another one if the first was not run, and that one got a closed channel, which counted as the end of the body.

Evidence: in the debug log of the first request after two of three servers were killed, attempt 0 ended unreached, SL2006 retry-made follows, and the reply with body_bytes 0 is that of attempt 1 (SL2001, attempts 2).

A body of unknown length is now read and kept up to the replay limit, so that every attempt gets it. A longer one is streamed to one attempt, and the engine is told by BodyNotKept and orders no other. The end of a body is an explicit message, so a sender that stops early is a truncated body at the receiver. Orders that arrived while a body was read were dropped, such as the cancellation of the attempt that waits for it; they are carried out now. An exhausted memory account is answered with Retry-After in this case too.

--- a/crates/daemon/src/adapters/caller.rs
+++ b/crates/daemon/src/adapters/caller.rs
@@ -12,8 +12,8 @@
 
 /// Protocol in which callers send requests and receive responses.
 pub trait CallerAdapter: Debug + Send + Sync {
-    /// Parses the head of a request for the engine. The request counts as replayable when its body
-    /// has at most `replay_limit` bytes.
+    /// Parses the head of a request for the engine. The request counts as replayable unless its body
+    /// is declared with more than `replay_limit` bytes.
     ///
     /// # Errors
     ///
--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -6,7 +6,7 @@
 //! truncated, the exchange aborts the connection, so the caller does not take the response for a
 //! complete one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,20 +19,19 @@
 use sycamorelink_policy::SampleKind;
 use sycamorelink_telemetry::{EventCode, EventFields};
 use tokio::sync::{mpsc, oneshot};
-use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
+use xitca_web::body::{RequestBody, ResponseBody};
 
 use super::head::request_target;
+use super::request_body::{CallerBody, EndCheck, read_up_to, stream_to_attempt};
 use super::response::{replay_response, reply_unavailable_response};
 use super::socket::{CallerSocket, wait_for_disconnect};
 use super::stream::{StreamedReply, stream_body};
 use super::{COMMAND_DEPTH, CallerCommand, CallerContext};
+use crate::body::{BodyReceiver, body_channel, whole_body};
 use crate::inbox::DecisionInput;
 use crate::memory::{MemoryAccount, MemoryReservation};
 use crate::metrics::EventPort;
-use crate::reply::{
-    BODY_DEPTH, BodyReceiver, BodySender, BodyTruncated, REPLY_DEPTH, ReplyEnd, ReplyHead,
-    ReplyPart, buffered_body,
-};
+use crate::reply::{REPLY_DEPTH, ReplyEnd, ReplyHead, ReplyPart};
 use crate::work::{AttemptTask, ReplySink};
 
 /// Retry delay sent to a caller whose request was refused because the ring is full.
@@ -83,6 +82,7 @@
         return refuse(&context, id, &refusal);
     }
     let (part_sender, parts) = mpsc::channel(REPLY_DEPTH);
+    let (body_end_sender, body_ends) = mpsc::channel(1);
     let exchange = CallerExchange {
         socket: context.sockets.get(peer),
         context,
@@ -90,12 +90,17 @@
         target: request_target(&request).to_owned(),
         method: request.method().as_str().to_owned(),
         headers: request.headers().clone(),
-        body: Some(body),
+        body: CallerBody::Unsent {
+            prefix: Bytes::new(),
+            rest: body,
+        },
         replayable,
-        declared,
-        buffered_body: None,
+        end_check: EndCheck { declared },
         memory: Some(memory),
+        body_end_sender,
+        body_ends,
         commands,
+        deferred: VecDeque::new(),
         part_sender,
         parts,
         attempts: BTreeMap::new(),
@@ -132,7 +137,7 @@
 enum BufferError {
     /// The decision thread refused the request while the body was being read.
     Refused(RequestRefusal),
-    /// The body is too large or incomplete.
+    /// The body is incomplete or does not fit into the memory account.
     Broken(RefusalCode),
 }
 
@@ -143,13 +148,17 @@
     target: String,
     method: String,
     headers: HeaderMap,
-    body: Option<RequestBody>,
+    body: CallerBody,
     replayable: bool,
-    declared: Option<u64>,
-    buffered_body: Option<Bytes>,
+    end_check: EndCheck,
     /// Reservation for the body until it is buffered.
     memory: Option<MemoryReservation>,
+    body_end_sender: mpsc::Sender<Result<(), RefusalCode>>,
+    /// Result of streaming the body to an attempt.
+    body_ends: mpsc::Receiver<Result<(), RefusalCode>>,
     commands: mpsc::Receiver<CallerCommand>,
+    /// Commands that arrived while the body was being read.
+    deferred: VecDeque<CallerCommand>,
     part_sender: mpsc::Sender<NumberedPart>,
     parts: mpsc::Receiver<NumberedPart>,
     attempts: BTreeMap<u16, AttemptProgress>,
@@ -161,7 +170,13 @@
         let disconnected = wait_for_disconnect(self.socket.clone());
         tokio::pin!(disconnected);
         loop {
-            let body_read = self.buffered_body.is_some() || self.declared == Some(0);
+            if let Some(command) = self.deferred.pop_front() {
+                if let Some(response) = self.on_command(command).await {
+                    return response;
+                }
+                continue;
+            }
+            let body_read = self.body.is_read() || self.end_check.declared == Some(0);
             tokio::select! {
                 () = &mut disconnected, if body_read =>
                     return self.abort(RefusalCode::CallerGone).await,
@@ -178,6 +193,10 @@
                         return response;
                     }
                 }
+                Some(end) = self.body_ends.recv() => match end {
+                    Ok(()) => self.body = CallerBody::Streamed,
+                    Err(code) => return self.abort(code).await,
+                },
             }
         }
     }
@@ -213,8 +232,10 @@
         if let Some(response) = self.buffer_body(limit).await {
             return Some(response);
         }
-        let bytes = self.buffered_body.clone().unwrap_or_default();
-        let fingerprint = KeyFingerprint::of(&self.method, &self.target, &bytes);
+        let Some(bytes) = self.body.kept() else {
+            return Some(self.abort(RefusalCode::BodyTooLarge).await);
+        };
+        let fingerprint = KeyFingerprint::of(&self.method, &self.target, bytes);
         let request = self.id;
         self.send_event(NodeEvent::BodyRead {
             request,
@@ -228,22 +249,29 @@
     async fn abort(&mut self, code: RefusalCode) -> Response<ResponseBody> {
         self.send_event(NodeEvent::CallerGone { request: self.id })
             .await;
-        self.refuse_request(&RequestRefusal::not_run(code))
+        let retry_after = (code == RefusalCode::Overloaded).then_some(MEMORY_RETRY_DELAY);
+        self.refuse_request(&RequestRefusal {
+            code,
+            run: RunState::NotRun,
+            retry_after,
+        })
     }
 
     async fn start_attempt(&mut self, order: Box<AttemptOrder>) -> Option<Response<ResponseBody>> {
-        if self.buffered_body.is_none() && self.replayable {
-            let limit = order.max_body.min(self.context.replay_limit());
-            if let Some(response) = self.buffer_body(limit).await {
+        let number = order.attempt.number;
+        if self.replayable {
+            if let Some(response) = self.keep_body(order.max_body).await {
                 return Some(response);
             }
+            if self.has_deferred_cancel(number) {
+                return None;
+            }
         }
-        let (body, length) = match &self.buffered_body {
-            Some(bytes) => (buffered_body(bytes.clone()), Some(bytes.len() as u64)),
-            None => (self.stream_request(order.max_body), None),
+        let Some((body, length)) = self.attempt_body(order.max_body) else {
+            self.reject_attempt(&order).await;
+            return None;
         };
         let (cancel, cancelled) = oneshot::channel();
-        let number = order.attempt.number;
         let task = AttemptTask {
             order: order.clone(),
             method: self.method.clone(),
@@ -276,24 +304,43 @@
     /// body's hash, so that blocking a request that crashes backend servers does not block others
     /// with the same path. Without a buffered body the signature is zero, which is never blocked.
     fn signature(&self, head: u64) -> u64 {
-        let body = self.buffered_body.as_ref();
+        let body = self.body.kept();
         body.map_or(0, |bytes| stable_hash(&[&head.to_be_bytes(), bytes]))
     }
 
-    /// Reads and buffers the whole body. Returns a response early when the body is too large or
-    /// incomplete, or when the decision thread refuses the request, which bounds the wait for a
-    /// slow caller by its deadline.
+    /// Reads the body to keep it for every attempt. A body beyond the replay limit is left to be
+    /// streamed, and the decision thread is told that it can be sent only once.
+    async fn keep_body(&mut self, max_body: u64) -> Option<Response<ResponseBody>> {
+        let limit = max_body.min(self.context.replay_limit());
+        if let Some(response) = self.buffer_body(limit).await {
+            return Some(response);
+        }
+        let CallerBody::Unsent { prefix, .. } = &self.body else {
+            return None;
+        };
+        if prefix.len() as u64 > max_body {
+            return Some(self.abort(RefusalCode::BodyTooLarge).await);
+        }
+        self.replayable = false;
+        let request = self.id;
+        self.send_event(NodeEvent::BodyNotKept { request }).await;
+        None
+    }
+
+    /// Reads the body until its end or until it exceeds `limit` bytes. Returns a response early when
+    /// the body is incomplete, or when the decision thread refuses the request, which bounds the
+    /// wait for a slow caller by its deadline.
     async fn buffer_body(&mut self, limit: u64) -> Option<Response<ResponseBody>> {
-        let Some(mut body) = self.body.take() else {
-            self.buffered_body.get_or_insert_default();
+        let CallerBody::Unsent { rest, .. } = &mut self.body else {
             return None;
         };
+        let check = self.end_check.clone();
         let mut memory = self
             .memory
             .take()
             .unwrap_or_else(|| self.context.memory.reserve(0));
         let read = {
-            let read = collect_body(&mut body, limit, self.declared, &mut memory);
+            let read = read_up_to(rest, limit, &check, &mut memory);
             tokio::pin!(read);
             loop {
                 tokio::select! {
@@ -301,15 +348,21 @@
                     command = self.commands.recv() => match command {
                         Some(CallerCommand::Refuse(refusal)) =>
                             break Err(BufferError::Refused(refusal)),
-                        Some(_) => {}
+                        Some(command) => self.deferred.push_back(command),
                         None => break Err(BufferError::Broken(RefusalCode::Draining)),
                     },
                 }
             }
         };
         match read {
-            Ok(bytes) => {
-                self.buffered_body = Some(memory.hold(bytes));
+            Ok((bytes, true)) => {
+                self.body = CallerBody::Kept(memory.hold(bytes));
+                None
+            }
+            Ok((bytes, false)) => {
+                if let CallerBody::Unsent { prefix, .. } = &mut self.body {
+                    *prefix = memory.hold(bytes);
+                }
                 None
             }
             Err(BufferError::Refused(refusal)) => Some(self.refuse_request(&refusal)),
@@ -322,14 +375,52 @@
         }
     }
 
-    fn stream_request(&mut self, limit: u64) -> BodyReceiver {
-        let (sender, receiver) = mpsc::channel(BODY_DEPTH);
-        if let Some(body) = self.body.take() {
-            let memory = self.context.memory.clone();
-            let declared = self.declared;
-            tokio::task::spawn_local(stream_request_body(body, sender, limit, declared, memory));
+    fn has_deferred_cancel(&self, number: u16) -> bool {
+        let mut deferred = self.deferred.iter();
+        deferred.any(|command| matches!(command, CallerCommand::Cancel(other) if *other == number))
+    }
+
+    /// Returns the body for the next attempt and its length, if known. Returns `None` when the body
+    /// was streamed to an earlier attempt.
+    fn attempt_body(&mut self, max_body: u64) -> Option<(BodyReceiver, Option<u64>)> {
+        if let Some(bytes) = self.body.kept() {
+            return Some((whole_body(bytes.clone()), Some(bytes.len() as u64)));
+        }
+        match std::mem::replace(&mut self.body, CallerBody::Streaming) {
+            CallerBody::Unsent { prefix, rest } => {
+                let (sender, receiver) = body_channel();
+                let check = self.end_check.clone();
+                let memory = self.context.memory.clone();
+                let ends = self.body_end_sender.clone();
+                let body = (prefix, rest);
+                tokio::task::spawn_local(stream_to_attempt(
+                    body, sender, max_body, check, memory, ends,
+                ));
+                Some((receiver, self.end_check.declared))
+            }
+            sent => {
+                self.body = sent;
+                None
+            }
         }
-        receiver
+    }
+
+    /// Ends an attempt that was ordered before the decision thread knew that the body can be sent
+    /// only once.
+    async fn reject_attempt(&self, order: &AttemptOrder) {
+        let report = AttemptReport {
+            attempt: order.attempt,
+            kind: SampleKind::Cancelled,
+            run: RunState::NotRun,
+            status: None,
+            latency: Duration::ZERO,
+            service_time: None,
+            load: None,
+            code: None,
+            retry_after: None,
+            reply_bytes: 0,
+        };
+        self.send_event(NodeEvent::AttemptEnded(report)).await;
     }
 
     async fn on_part(&mut self, number: u16, part: ReplyPart) -> Option<Response<ResponseBody>> {
@@ -470,57 +561,3 @@
         reply_bytes: u64::try_from(progress.buffer.len()).unwrap_or(u64::MAX),
     }
 }
-
-/// Reads a body and checks it against the declared length. The HTTP library reports a body that the
-/// caller cut off as complete, and without the check the backend server would run half a request.
-async fn collect_body(
-    body: &mut RequestBody,
-    limit: u64,
-    declared: Option<u64>,
-    memory: &mut MemoryReservation,
-) -> Result<Bytes, RefusalCode> {
-    let mut bytes = BytesMut::new();
-    while let Some(chunk) = body.data().await {
-        let chunk = chunk.map_err(|_| RefusalCode::BadRequest)?;
-        bytes.extend_from_slice(&chunk);
-        if bytes.len() as u64 > limit {
-            return Err(RefusalCode::BodyTooLarge);
-        }
-        let missing = (bytes.len() as u64).saturating_sub(memory.bytes());
-        if !memory.try_grow(missing) {
-            return Err(RefusalCode::Overloaded);
-        }
-    }
-    if declared.is_some_and(|length| length != bytes.len() as u64) {
-        return Err(RefusalCode::BadRequest);
-    }
-    Ok(bytes.freeze())
-}
-
-/// Streams a body to the attempt and checks it against the declared length like [`collect_body`].
-async fn stream_request_body(
-    mut body: RequestBody,
-    sender: BodySender,
-    limit: u64,
-    declared: Option<u64>,
-    memory: MemoryAccount,
-) {
-    let mut sent = 0;
-    while let Some(chunk) = body.data().await {
-        let chunk = chunk.map_err(|_| BodyTruncated);
-        let chunk = chunk.map(|chunk| memory.hold(chunk));
-        sent += chunk.as_ref().map_or(0, |bytes| bytes.len() as u64);
-        let chunk = if sent > limit {
-            Err(BodyTruncated)
-        } else {
-            chunk
-        };
-        let broken = chunk.is_err();
-        if sender.send(chunk).await.is_err() || broken {
-            return;
-        }
-    }
-    if declared.is_some_and(|length| length != sent) {
-        let _ = sender.send(Err(BodyTruncated)).await;
-    }
-}
--- a/crates/daemon/src/callers/head.rs
+++ b/crates/daemon/src/callers/head.rs
@@ -47,7 +47,7 @@
         target: Arc::from(request_target(request)),
         key: read_key(headers)?,
         body_length,
-        replayable: body_length.is_some_and(|length| length <= replay_limit),
+        replayable: body_length.is_none_or(|length| length <= replay_limit),
         time_left: read_timeout(headers)?,
     })
 }
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -13,6 +13,7 @@
 
 mod exchange;
 mod head;
+mod request_body;
 mod response;
 mod server;
 mod socket;
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -12,9 +12,10 @@
 
 use super::exchange::NumberedPart;
 use super::socket::CallerSocket;
+use crate::body::BodyTruncated;
 use crate::inbox::DecisionInput;
 use crate::memory::MemoryAccount;
-use crate::reply::{BodyTruncated, ReplyPart};
+use crate::reply::ReplyPart;
 use crate::ring::RingSender;
 
 /// A streamed reply, which outlives its exchange.
--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -340,7 +340,9 @@
 const fn event_kind(event: &NodeEvent) -> &'static str {
     match event {
         NodeEvent::Tick => "tick",
-        NodeEvent::RequestArrived(_) | NodeEvent::BodyRead { .. } => "request",
+        NodeEvent::RequestArrived(_)
+        | NodeEvent::BodyRead { .. }
+        | NodeEvent::BodyNotKept { .. } => "request",
         NodeEvent::WorkOffered(_) | NodeEvent::WorkEnded(_) => "work",
         NodeEvent::FleetContract(_)
         | NodeEvent::PeerReceived {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 //! place of the log thread.
 
 pub mod adapters;
+pub mod body;
 mod callers;
 pub mod clock_watch;
 mod daemon;
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -1,13 +1,10 @@
-//! Parts of a reply and channels for bodies, which connect the exchange, the attempts and the
-//! executor of one request.
+//! Parts of a reply, which connect the exchange, the attempts and the executor of one request.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use sycamorelink_core::{RefusalCode, RunState};
 use sycamorelink_policy::{LoadHint, SampleKind};
-use tokio::sync::mpsc;
-
 /// One part of a reply. A reply is a head, chunks and an end, in that order; a failure may replace
 /// any of them and is the last part.
 #[derive(Debug)]
@@ -71,27 +68,5 @@
     }
 }
 
-/// Receives the chunks of a request body; an error means that the caller sent an incomplete body.
-pub type BodyReceiver = mpsc::Receiver<Result<Bytes, BodyTruncated>>;
-/// Sends the chunks of a request body.
-pub type BodySender = mpsc::Sender<Result<Bytes, BodyTruncated>>;
-
-/// Error for a body that ended before it was complete.
-#[derive(Clone, Copy, Debug, thiserror::Error)]
-#[error("the body ended before it was complete")]
-pub struct BodyTruncated;
-
-/// Capacity of the channel for a body between two threads, in chunks.
-pub const BODY_DEPTH: usize = 8;
 /// Capacity of the channel for a reply between two threads, in parts.
 pub const REPLY_DEPTH: usize = 8;
-
-/// Returns a receiver for a body that is already complete.
-#[must_use]
-pub fn buffered_body(bytes: Bytes) -> BodyReceiver {
-    let (sender, receiver) = mpsc::channel(1);
-    if !bytes.is_empty() {
-        let _ = sender.try_send(Ok(bytes));
-    }
-    receiver
-}
--- a/crates/daemon/src/work/attempt.rs
+++ b/crates/daemon/src/work/attempt.rs
@@ -17,7 +17,8 @@
 
 use super::executor::{ExecutorTask, execute};
 use super::{AttemptTask, ReplySink, WorkContext};
-use crate::reply::{AttemptFailure, BodyReceiver, ReplyEnd, ReplyHead, ReplyPart};
+use crate::body::BodyReceiver;
+use crate::reply::{AttemptFailure, ReplyEnd, ReplyHead, ReplyPart};
 
 /// Longest time since a peer's last reply for which the peer gets work without a liveness probe.
 /// Connections with work on them complete a round trip every 250 ms.
@@ -242,9 +243,11 @@
 ) {
     let sending = async {
         let mut sent = 0;
-        while let Some(chunk) = body.recv().await {
-            let Ok(chunk) = chunk else {
-                return;
+        loop {
+            let chunk = match body.chunk().await {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) => break,
+                Err(_) => return,
             };
             sent += chunk.len() as u64;
             if length == Some(sent) {
--- a/crates/daemon/src/work/backend.rs
+++ b/crates/daemon/src/work/backend.rs
@@ -21,7 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
-use crate::reply::{BodyReceiver, BodyTruncated};
+use crate::body::{BodyReceiver, BodyTruncated};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -187,7 +187,7 @@
 #[must_use]
 pub fn backend_body(chunks: BodyReceiver) -> BackendBody {
     let stream = futures_util::stream::unfold(chunks, |mut chunks| async move {
-        let chunk = chunks.recv().await?;
+        let chunk = chunks.chunk().await.transpose()?;
         Some((chunk.map(Frame::data), chunks))
     });
     UnsyncBoxBody::new(StreamBody::new(stream))
--- a/crates/daemon/src/work/executor.rs
+++ b/crates/daemon/src/work/executor.rs
@@ -21,9 +21,10 @@
 use super::backend::{SendFailure, backend_body, refuses_connections};
 use super::{ReplySink, WorkCommand, WorkContext};
 use crate::adapters::{BackendRequest, ReplyExpectation, ReplyVerdict, RequestSpec};
+use crate::body::BodyReceiver;
 use crate::callers::{StoredReply, is_hop_by_hop_header};
 use crate::inbox::DecisionInput;
-use crate::reply::{AttemptFailure, BodyReceiver, ReplyEnd, ReplyHead, ReplyPart};
+use crate::reply::{AttemptFailure, ReplyEnd, ReplyHead, ReplyPart};
 
 /// Capacity of the command channel of one piece of work.
 const COMMAND_DEPTH: usize = 4;
--- a/crates/daemon/src/work/mod.rs
+++ b/crates/daemon/src/work/mod.rs
@@ -25,7 +25,8 @@
 use sycamorelink_policy::LoadHint;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::reply::{BodyReceiver, ReplyPart};
+use crate::body::BodyReceiver;
+use crate::reply::ReplyPart;
 
 /// One attempt, sent from the exchange to the work thread.
 #[derive(Debug)]
--- a/crates/daemon/src/work/serving.rs
+++ b/crates/daemon/src/work/serving.rs
@@ -18,11 +18,10 @@
 use super::attempt::{WorkExtras, load_report};
 use super::executor::{ExecutorTask, execute};
 use super::{ReplySink, WorkContext};
+use crate::body::{BodySender, body_channel};
 use crate::inbox::DecisionInput;
 use crate::memory::MemoryAccount;
-use crate::reply::{
-    AttemptFailure, BODY_DEPTH, BodySender, BodyTruncated, REPLY_DEPTH, ReplyHead, ReplyPart,
-};
+use crate::reply::{AttemptFailure, REPLY_DEPTH, ReplyHead, ReplyPart};
 
 /// Serves peers until the node drains and the last reply is sent.
 pub async fn serve_peers(
@@ -111,7 +110,7 @@
         return;
     };
     let (part_sender, parts) = mpsc::channel(REPLY_DEPTH);
-    let (body_sender, body_receiver) = mpsc::channel(BODY_DEPTH);
+    let (body_sender, body_receiver) = body_channel();
     let (cancel, cancelled) = oneshot::channel();
     let reply_id_header = extras.reply_id_header.clone();
     let offer = work_offer(&context, peer, &head, (extras, terms));
@@ -192,14 +191,14 @@
 
 async fn forward_body(mut body: WireBody, sender: BodySender, memory: MemoryAccount) {
     loop {
-        let chunk = match body.chunk().await {
-            Ok(Some(chunk)) => Ok(memory.hold(chunk)),
-            Ok(None) => return,
-            Err(_) => Err(BodyTruncated),
-        };
-        let broken = chunk.is_err();
-        if sender.send(chunk).await.is_err() || broken {
-            return;
+        match body.chunk().await {
+            Ok(Some(chunk)) => {
+                if !sender.send(memory.hold(chunk)).await {
+                    return;
+                }
+            }
+            Ok(None) => return sender.finish().await,
+            Err(_) => return,
         }
     }
 }
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -189,7 +189,8 @@
         };
         let label = Arc::clone(&state.caller.label);
         let from = state.last_upstream;
-        let replayable = state.caller.replayable || report.run == RunState::NotRun;
+        // An attempt takes the body with it even if it was not run.
+        let replayable = state.caller.replayable;
         let service = state.rule.service.clone();
         let usual = report.service_time.unwrap_or_default();
         match state.plan.decide(now, &outcome, usual) {
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -295,7 +295,8 @@
         let Some(state) = self.requests.get(&id) else {
             return;
         };
-        if state.open.len() != 1 || state.has_reached_run_limit() {
+        let may_hedge = state.caller.replayable && !state.has_reached_run_limit();
+        if state.open.len() != 1 || !may_hedge {
             return;
         }
         let Some((upstream, _)) = self.select_upstream(now, id) else {
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -30,6 +30,11 @@
         /// Hash of method, target and body.
         fingerprint: KeyFingerprint,
     },
+    /// The body of a request is longer than the daemon keeps, so only one attempt can get it.
+    BodyNotKept {
+        /// Id of the caller's request.
+        request: RequestId,
+    },
     /// The caller disconnected before its answer was complete.
     CallerGone {
         /// Id of the caller's request.
@@ -192,7 +197,8 @@
     pub key: Option<Arc<str>>,
     /// Length of the body in bytes; `None` if the caller did not send it.
     pub body_length: Option<u64>,
-    /// Whether the daemon can buffer the whole body and so send it again.
+    /// Whether the daemon can keep the whole body and so send it again. Of a body without a known
+    /// length this is assumed until [`NodeEvent::BodyNotKept`].
     pub replayable: bool,
     /// Time that the caller allows for the answer; `None` if the caller set no limit.
     pub time_left: Option<Duration>,
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -304,6 +304,13 @@
         }
     }
 
+    /// Records that the body of a request can be sent only once.
+    pub(crate) fn on_body_not_kept(&mut self, id: RequestId) {
+        if let Some(state) = self.requests.get_mut(&id) {
+            state.caller.replayable = false;
+        }
+    }
+
     /// Selects an upstream for a keyed request whose body was read, and asks the guards of the key.
     pub(crate) fn on_body(
         &mut self,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -295,6 +295,7 @@
             } => {
                 self.on_body(now, request, fingerprint, out);
             }
+            NodeEvent::BodyNotKept { request } => self.on_body_not_kept(request),
             NodeEvent::CallerGone { request } => self.on_caller_gone(now, request, out),
             NodeEvent::AttemptEnded(report) => self.on_attempt_ended(now, &report, out),
             NodeEvent::WorkOffered(offer) => self.on_work_offered(now, offer, out),
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -5,3 +5,4 @@
 mod draining;
 mod end_to_end;
 mod faults;
+mod request_bodies;
