Forward the chunked body of a GET

A look-up with a chunked body was answered with 200 although its backend server read no body: the HTTP library sends none with a GET unless the head declares one. With Content-Length the body arrived.

A body of unknown length is declared as chunked in the head for the backend server, under both protocols.

--- a/crates/daemon/src/adapters/backend.rs
+++ b/crates/daemon/src/adapters/backend.rs
@@ -123,7 +123,8 @@
 }
 
 /// Builds a request's head with the forwarded headers and, in the header `time_header`, the time
-/// left in milliseconds. Returns `None` when a part of it is malformed.
+/// left in milliseconds. A body of unknown length is declared as chunked, since the HTTP library
+/// drops the undeclared body of a `GET`. Returns `None` when a part of the head is malformed.
 #[must_use]
 pub fn build_request_head(spec: &RequestSpec, time_header: HeaderName) -> Option<Request<()>> {
     let mut head = Request::builder()
@@ -138,6 +139,9 @@
     }
     let millis = u64::try_from(spec.time_left.as_millis()).unwrap_or(u64::MAX);
     headers.insert(time_header, HeaderValue::from(millis));
+    if spec.body_length.is_none() {
+        headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
     Some(head)
 }
 
--- a/tests/testsuite/fleet/request_bodies.rs
+++ b/tests/testsuite/fleet/request_bodies.rs
@@ -123,3 +123,17 @@
         thread::sleep(REQUEST_INTERVAL);
     }
 }
+
+// Guards against dropping the body of a look-up, for which the HTTP client library sends no chunked
+// body by itself.
+#[test]
+fn chunked_body_of_get_arrives_whole() {
+    let fleet = start_fleet(2);
+    for length in [25, 5 * REPLAY_LIMIT] {
+        let body = sample_body(length);
+        for _ in 0..4 {
+            assert_whole(&send_chunked(&fleet, "GET", &body), &body);
+            assert_whole(&send_declared(&fleet, "GET", &body), &body);
+        }
+    }
+}
