Do not run a chunked body that its caller cut off

A caller that closed its connection within a chunked body got 200: the backend server ran the part that had arrived. The HTTP library reports the end of the connection as the end of the body. Declared bodies are checked against their length, chunked ones had no check.

A chunked body now counts as whole only if its connection is still open at its end. A caller that closes its sending direction counts as gone anyway.

--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -83,8 +83,9 @@
     }
     let (part_sender, parts) = mpsc::channel(REPLY_DEPTH);
     let (body_end_sender, body_ends) = mpsc::channel(1);
+    let socket = context.sockets.get(peer);
     let exchange = CallerExchange {
-        socket: context.sockets.get(peer),
+        socket: socket.clone(),
         context,
         id,
         target: request_target(&request).to_owned(),
@@ -95,7 +96,7 @@
             rest: body,
         },
         replayable,
-        end_check: EndCheck { declared },
+        end_check: EndCheck { declared, socket },
         memory: Some(memory),
         body_end_sender,
         body_ends,
--- a/crates/daemon/src/callers/request_body.rs
+++ b/crates/daemon/src/callers/request_body.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use xitca_web::body::{BodyExt, RequestBody};
 
+use super::socket::CallerSocket;
 use crate::body::BodySender;
 use crate::memory::{MemoryAccount, MemoryReservation};
 
@@ -51,13 +52,19 @@
 pub struct EndCheck {
     /// Declared length of the body in bytes; `None` for a chunked body.
     pub declared: Option<u64>,
+    /// Connection of the caller. Its end within a chunked body looks like the end of the body.
+    pub socket: Option<CallerSocket>,
 }
 
 impl EndCheck {
     fn verify(&self, length: u64) -> Result<(), RefusalCode> {
         let is_whole = match self.declared {
             Some(declared) => declared == length,
-            None => true,
+            // A caller that closed its connection after the last chunk counts as gone.
+            None => self
+                .socket
+                .as_ref()
+                .is_some_and(|socket| !socket.is_closed()),
         };
         is_whole.then_some(()).ok_or(RefusalCode::BadRequest)
     }
--- a/crates/daemon/src/callers/socket.rs
+++ b/crates/daemon/src/callers/socket.rs
@@ -30,7 +30,7 @@
     }
 
     /// Returns whether the caller or the server closed the connection.
-    fn is_closed(&self) -> bool {
+    pub fn is_closed(&self) -> bool {
         let mut byte = [0];
         match self.0.peek(&mut byte) {
             Ok(count) => count == 0,
--- a/tests/testsuite/fleet/request_bodies.rs
+++ b/tests/testsuite/fleet/request_bodies.rs
@@ -1,6 +1,8 @@
 //! Request bodies on the way to backend servers. A backend server gets the whole body of a request
 //! or no request.
 
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::Duration;
 
@@ -124,6 +126,34 @@
     }
 }
 
+// Guards against running a part of a request: the caller closes its connection within a chunked
+// body, whose length nobody declared.
+#[test]
+fn cut_off_chunked_body_is_never_run() {
+    let fleet = start_fleet(1);
+    let runs_before = fleet.instances[0].run_counters()["total"].clone();
+    for (length, end) in [
+        (25, ""),
+        (5 * REPLAY_LIMIT, ""),
+        (25, "zz\r\n"),
+        (25, "10\r\n012"),
+    ] {
+        let mut request = chunked_head("PUT");
+        push_chunks(&mut request, &sample_body(length));
+        request.extend_from_slice(end.as_bytes());
+        let address = fleet.instances[0].caller_address();
+        let mut stream = TcpStream::connect(address).expect("connects");
+        stream.write_all(&request).expect("sends");
+        stream.shutdown(Shutdown::Write).expect("closes");
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert_eq!(fleet.instances[0].run_counters()["total"], runs_before);
+}
+
 // Guards against dropping the body of a look-up, for which the HTTP client library sends no chunked
 // body by itself.
 #[test]
