Say "unknown" to a caller that closed its sending direction after a dispatch

A caller that sent a request and closed its sending direction read 499 with "not-run", while a backend server had started the run. A booking sent again under another key runs twice.

The exchange ends a request by itself when the caller disconnects or its body is cut off or too long, and answered "not run" without asking what had been dispatched. Evidence: the engine's SL2004 of the same request says run=unknown, attempts 1.

The exchange now says "not run" only if no attempt is open and each one that ended is certain not to have run.

--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -105,6 +105,7 @@
         part_sender,
         parts,
         attempts: BTreeMap::new(),
+        may_have_run: false,
         answered: false,
     };
     exchange.run().await
@@ -163,6 +164,8 @@
     part_sender: mpsc::Sender<NumberedPart>,
     parts: mpsc::Receiver<NumberedPart>,
     attempts: BTreeMap<u16, AttemptProgress>,
+    /// Whether a backend server may have run one of the attempts that ended.
+    may_have_run: bool,
     answered: bool,
 }
 
@@ -208,7 +211,7 @@
             CallerCommand::ReadBody(limit) => self.read_body(limit).await,
             CallerCommand::Dispatch(order) => self.start_attempt(order).await,
             CallerCommand::Cancel(number) => {
-                self.attempts.remove(&number);
+                self.may_have_run |= self.attempts.remove(&number).is_some();
                 None
             }
             CallerCommand::Deliver(number) => self.deliver(number),
@@ -253,11 +256,20 @@
         let retry_after = (code == RefusalCode::Overloaded).then_some(MEMORY_RETRY_DELAY);
         self.refuse_request(&RequestRefusal {
             code,
-            run: RunState::NotRun,
+            run: self.run_state(),
             retry_after,
         })
     }
 
+    /// Returns what is certain about the runs of the attempts so far.
+    fn run_state(&self) -> RunState {
+        if self.may_have_run || !self.attempts.is_empty() {
+            RunState::Unknown
+        } else {
+            RunState::NotRun
+        }
+    }
+
     async fn start_attempt(&mut self, order: Box<AttemptOrder>) -> Option<Response<ResponseBody>> {
         let number = order.attempt.number;
         if self.replayable {
@@ -448,6 +460,7 @@
             ReplyPart::End(end) => self.on_end(number, end).await,
             ReplyPart::Failed(failure) => {
                 let progress = self.attempts.remove(&number)?;
+                self.may_have_run |= failure.run != RunState::NotRun;
                 let mut report = attempt_report(&progress, failure.kind, failure.run);
                 report.code = failure.code;
                 report.load = failure.load;
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -5,4 +5,5 @@
 mod draining;
 mod end_to_end;
 mod faults;
+mod half_closed_callers;
 mod request_bodies;
