Check request bodies and half-closed callers in the soak

Callers send bodies of up to 100,000 bytes, declared or chunked, cut some off within a chunked body and close their sending direction after some requests. BODY reports a backend server that ran a request with another body than its caller's, by length and hash.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -2,14 +2,14 @@
 //! the daemon process ends.
 
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::nodes::SoakNode;
-use crate::record::{CallKind, ObservedCall, ObservedReply, SessionRecord};
+use crate::record::{BodyDigest, CallKind, ObservedCall, ObservedReply, SessionRecord};
 use crate::support::client::{ReceivedResponse, try_exchange};
 
 /// Response timeout of a patient caller, longer than the route's deadline and any daemon pause.
@@ -20,6 +20,14 @@
 const SHORT_TIMEOUT: Duration = Duration::from_millis(60);
 /// Every n-th request of a caller uses `SHORT_TIMEOUT`.
 const SHORT_TIMEOUT_EVERY: u64 = 17;
+/// Lengths of the bodies that a caller sends in turn, in bytes; some are beyond the replay limit.
+const BODY_LENGTHS: [usize; 8] = [0, 40, 0, 3_000, 40, 100_000, 0, 9_000];
+/// Largest chunk of a chunked body, in bytes.
+const CHUNK_BYTES: usize = 4_000;
+/// Every n-th request of a caller is followed by the end of its sending direction.
+const HALF_CLOSE_EVERY: u64 = 23;
+/// Every n-th request of a caller has a chunked body that ends before its last chunk.
+const CUT_OFF_EVERY: u64 = 29;
 /// Pause between consecutive requests of one caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -33,6 +41,37 @@
     end.map(|_| response)
 }
 
+/// How a caller sends a request.
+#[derive(Clone, Copy, Debug)]
+struct SendingMode {
+    is_chunked: bool,
+    /// Whether the end of a chunked body is missing.
+    is_cut_off: bool,
+    /// Whether the caller closes its sending direction after the request.
+    half_closes: bool,
+}
+
+impl SendingMode {
+    fn of_request(number: u64) -> Self {
+        let is_cut_off = number.is_multiple_of(CUT_OFF_EVERY);
+        Self {
+            is_chunked: is_cut_off || number % 5 < 2,
+            is_cut_off,
+            half_closes: number.is_multiple_of(HALF_CLOSE_EVERY),
+        }
+    }
+
+    fn is_half_closed(self) -> bool {
+        self.is_cut_off || self.half_closes
+    }
+}
+
+/// Returns a body that no other request has and that repeats no part.
+fn sample_body(id: &str, length: usize) -> Vec<u8> {
+    let parts = (0_u32..).flat_map(|number| format!("{id} {number} ").into_bytes());
+    parts.take(length).collect()
+}
+
 /// Keep-alive connection from one caller to one daemon process.
 struct KeepaliveConnection {
     reader: BufReader<TcpStream>,
@@ -53,15 +92,41 @@
         method: &str,
         target: &str,
         id: &str,
+        (body, sending): (&[u8], SendingMode),
         limit: Duration,
     ) -> io::Result<(ObservedReply, bool)> {
-        self.reader.get_ref().set_read_timeout(Some(limit))?;
-        let request = format!(
+        let stream = self.reader.get_mut();
+        stream.set_read_timeout(Some(limit))?;
+        stream.set_write_timeout(Some(limit))?;
+        let framing = if sending.is_chunked {
+            "Transfer-Encoding: chunked".to_owned()
+        } else {
+            format!("Content-Length: {}", body.len())
+        };
+        let head = format!(
             "{method} {target} HTTP/1.1\r\nHost: orders.example\r\nRequest-Id: {id}\r\n\
-             Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 0\r\n\r\n"
+             Deadline-Ms: {DEADLINE_MS}\r\n{framing}\r\n\r\n"
         );
-        self.reader.get_mut().write_all(request.as_bytes())?;
-        self.read_reply()
+        stream.write_all(head.as_bytes())?;
+        if sending.is_chunked {
+            for chunk in body.chunks(CHUNK_BYTES) {
+                let length = format!("{:x}\r\n", chunk.len());
+                stream.write_all(&[length.as_bytes(), chunk, b"\r\n"].concat())?;
+            }
+            let end: &[u8] = if sending.is_cut_off {
+                b""
+            } else {
+                b"0\r\n\r\n"
+            };
+            stream.write_all(end)?;
+        } else {
+            stream.write_all(body)?;
+        }
+        if sending.is_half_closed() {
+            stream.shutdown(Shutdown::Write)?;
+        }
+        let (reply, reusable) = self.read_reply()?;
+        Ok((reply, reusable && !sending.is_half_closed()))
     }
 
     fn read_reply(&mut self) -> io::Result<(ObservedReply, bool)> {
@@ -169,8 +234,11 @@
         } else {
             RESPONSE_TIMEOUT
         };
+        let sending = SendingMode::of_request(number);
+        let turn = usize::try_from(number).unwrap_or(0) % BODY_LENGTHS.len();
+        let body = sample_body(&id, BODY_LENGTHS[turn]);
         let sent = Instant::now();
-        let response = open.exchange(method, &target, &id, limit);
+        let response = open.exchange(method, &target, &id, (&body, sending), limit);
         let timed_out =
             matches!(&response, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
         let daemon = open.daemon;
@@ -187,6 +255,8 @@
             ended: Instant::now(),
             response,
             timed_out,
+            half_closed: sending.is_half_closed(),
+            body: BodyDigest::of(&body),
         });
     }
 }
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -34,10 +34,12 @@
         let none = Vec::new();
         let runs = state.runs.get(&call.id).unwrap_or(&none);
         check_run_count(call, runs, &mut findings);
+        check_bodies(call, runs, &mut findings);
         match &call.response {
             Some(reply) => {
                 check_response(call, reply, runs, &mut findings);
                 if planned_only
+                    && !call.half_closed
                     && !(reply.status == 200 || NOT_RUN_STATUSES.contains(&reply.status))
                 {
                     check_planned_maintenance(call, reply, &mut findings);
@@ -71,6 +73,14 @@
     }
 }
 
+/// Reports a backend server that ran a request with another body than its caller's.
+fn check_bodies(call: &ObservedCall, runs: &[ObservedRun], findings: &mut Vec<String>) {
+    for run in runs.iter().filter(|run| run.body != call.body) {
+        let (id, sent, ran) = (&call.id, call.body, run.body);
+        findings.push(format!("BODY: {id} had {sent:?} and ran with {ran:?}"));
+    }
+}
+
 fn check_response(
     call: &ObservedCall,
     reply: &ObservedReply,
--- a/tests/soak/nodes.rs
+++ b/tests/soak/nodes.rs
@@ -16,7 +16,7 @@
 use crate::processes::process::TestProcess;
 use crate::processes::wait_for;
 use crate::proxy::LoopbackProxy;
-use crate::record::{ObservedRun, SessionRecord};
+use crate::record::{BodyDigest, ObservedRun, SessionRecord};
 use crate::support::backend::reply_headers;
 use crate::support::client::post;
 use crate::support::http::{ReceivedRequest, ServerAction, serve};
@@ -323,6 +323,7 @@
         incarnation: Arc::clone(&incarnation),
         status,
         limit,
+        body: BodyDigest::of(&request.body),
     };
     record.add_run(request.header("request-id"), run);
     thread::sleep(if mode == BackendMode::Slow {
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -4,6 +4,24 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use sycamorelink_core::stable_hash;
+
+/// Length and hash of a request body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyDigest {
+    pub length: usize,
+    pub hash: u64,
+}
+
+impl BodyDigest {
+    pub fn of(body: &[u8]) -> Self {
+        Self {
+            length: body.len(),
+            hash: stable_hash(&[body]),
+        }
+    }
+}
+
 /// Start of a request on a backend server.
 #[derive(Clone, Debug)]
 pub struct ObservedRun {
@@ -14,6 +32,8 @@
     pub status: u16,
     /// Requests per second that the response names as the limit of the backend server.
     pub limit: Option<f64>,
+    /// Body that the backend server took for the whole body of the request.
+    pub body: BodyDigest,
 }
 
 /// Kind of a caller's request.
@@ -41,6 +61,10 @@
     pub response: Option<ObservedReply>,
     /// Whether the caller closed the connection because its timeout expired.
     pub timed_out: bool,
+    /// Whether the caller closed its sending direction after the request or within it.
+    pub half_closed: bool,
+    /// Whole body of the request, of which the caller may have sent a part.
+    pub body: BodyDigest,
 }
 
 /// Complete response of a daemon as its caller observed it.
