Keep requests waiting for a repeat when suspect servers refuse them

Requests that waited for a repeat got the failure of their first run, with five seconds or more left and repeats unused.

A released request asks up to four servers. After a fault, the servers that have repeats left are those whose breakers still refuse them. If the last server refused as repeats-spent, the request waited on; if it refused as upstream-suspect, it got its final answer. Evidence: the refusals of each request after its release, and the repeats in the capacity records at that time (five of eight servers had one).

A refusal as upstream-suspect that was not run now continues the wait of a request that waited before or that a server refused for want of a repeat.

--- a/crates/engine/src/caller_queue.rs
+++ b/crates/engine/src/caller_queue.rs
@@ -152,6 +152,12 @@
                 Some(WaitReason::Declining)
             }
             Some(RefusalCode::RepeatsSpent) => Some(WaitReason::NoRepeats),
+            // Which of several servers refuses last is chance, so a suspect server must not end a wait
+            // that a server without repeats would continue.
+            Some(RefusalCode::UpstreamSuspect) if report.run == RunState::NotRun => {
+                let short = state.repeats_refused > 0;
+                state.wait.or(short.then_some(WaitReason::NoRepeats))
+            }
             Some(RefusalCode::Overloaded) if report.run == RunState::NotRun => {
                 let service = state.rule.service.clone();
                 let forecast = self.capacity_forecast(self.now, &service);
