Remove refused work from the slot gate

After a server named its first rate limit while work waited, or started to leave, its gate kept all slots in use and the server got no more requests.

refuse_queued removed refused work from the gate only under overload control. The slot gate then gave slots to work that the engine had refused and forgotten, and nobody freed them. Evidence: with no work left at the engine, the load of the server is five slots in use of five.

Every refusal of waiting work now goes through refuse_waiting, which removes it from the gate. Work that the guard refuses while it is queued had the same fault.

refused_work_gets_no_slot_after_a_first_limit and refused_work_gets_no_slot_of_a_leaving_server failed before, with five slots in use where none is expected, and pass.

--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -169,10 +169,7 @@
         match decision {
             GateDecision::Run => self.start_work(now, work, out),
             GateDecision::Queued if must_leave => {
-                if let Some(upstream) = self.upstreams.get_mut(&slot) {
-                    upstream.gate.cancel(now, work);
-                }
-                self.refuse_unstarted(now, work, RefusalCode::Draining, None, out);
+                self.refuse_waiting(now, work, RefusalCode::Draining, out);
             }
             GateDecision::Queued => {}
             GateDecision::Refused { code, retry_after } => {
@@ -302,7 +299,7 @@
 
     pub(crate) fn refuse_attempt(
         &mut self,
-        _now: Duration,
+        now: Duration,
         attempt: AttemptId,
         refusal: RequestRefusal,
         out: &mut Vec<NodeCommand>,
@@ -313,6 +310,7 @@
                 && ticket.is_some_and(|ticket| ticket.attempt == attempt)
         });
         if let Some(work) = waiting.map(|(work, _)| *work) {
+            self.remove_from_gate(now, work);
             self.refuse_work(work, refusal, out);
         }
     }
--- a/crates/engine/src/fencing.rs
+++ b/crates/engine/src/fencing.rs
@@ -119,14 +119,9 @@
         let waiting = offered.filter(|(_, state)| state.phase != WorkPhase::Running);
         let waiting: Option<WorkId> = waiting.map(|(work, _)| *work);
         if let Some(work) = waiting {
-            if let Some(slot) = self.works.get(&work).map(|state| state.offer.slot)
-                && let Some(upstream) = self.upstreams.get_mut(&slot)
-            {
-                upstream.gate.cancel(now, work);
-            }
             // A peer whose connection broke does not receive this refusal and waits for the answer
             // below. One that recalls an attempt gets the refusal.
-            self.refuse_unstarted(now, work, RefusalCode::Draining, None, out);
+            self.refuse_waiting(now, work, RefusalCode::Draining, out);
         }
         let begun = self.fence_mark(attempt) == Some(FenceMark::Begun);
         if !begun {
--- a/crates/engine/src/gates.rs
+++ b/crates/engine/src/gates.rs
@@ -232,18 +232,34 @@
         code: RefusalCode,
         out: &mut Vec<NodeCommand>,
     ) {
-        let by_deadline = self.queues_by_deadline();
         let queued = self
             .works
             .iter()
             .filter(|(_, work)| work.offer.slot == slot && work.phase == WorkPhase::Queued);
         let queued: Vec<WorkId> = queued.map(|(work, _)| *work).collect();
         for work in queued {
-            // Guards against a gate that later gives a slot to work that was refused.
-            if by_deadline && let Some(upstream) = self.upstreams.get_mut(&slot) {
-                upstream.gate.cancel(now, work);
-            }
-            self.refuse_unstarted(now, work, code, None, out);
+            self.refuse_waiting(now, work, code, out);
+        }
+    }
+
+    /// Refuses work that may wait in the gate of its server.
+    ///
+    /// Work that stays in the gate after its refusal would get a slot that nobody frees.
+    pub(crate) fn refuse_waiting(
+        &mut self,
+        now: Duration,
+        work: WorkId,
+        code: RefusalCode,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        self.remove_from_gate(now, work);
+        self.refuse_unstarted(now, work, code, None, out);
+    }
+
+    pub(crate) fn remove_from_gate(&mut self, now: Duration, work: WorkId) {
+        let slot = self.works.get(&work).map(|state| state.offer.slot);
+        if let Some(upstream) = slot.and_then(|slot| self.upstreams.get_mut(&slot)) {
+            upstream.gate.cancel(now, work);
         }
     }
 
--- a/crates/engine/src/health.rs
+++ b/crates/engine/src/health.rs
@@ -187,10 +187,7 @@
         });
         let queued: Vec<WorkId> = queued.map(|(work, _)| *work).collect();
         for work in queued {
-            if let Some(upstream) = self.upstreams.get_mut(&slot) {
-                upstream.gate.cancel(now, work);
-            }
-            self.refuse_unstarted(now, work, RefusalCode::UpstreamSuspect, None, out);
+            self.refuse_waiting(now, work, RefusalCode::UpstreamSuspect, out);
         }
     }
 
--- a/crates/engine/src/repeat_loans.rs
+++ b/crates/engine/src/repeat_loans.rs
@@ -320,10 +320,7 @@
                 state.repeat = renewed.or(Some(RepeatOrigin::unfunded(false)));
             }
             if renewed.is_none() {
-                if let Some(upstream) = self.upstreams.get_mut(&slot) {
-                    upstream.gate.cancel(now, work);
-                }
-                self.refuse_unstarted(now, work, RefusalCode::RepeatsSpent, None, out);
+                self.refuse_waiting(now, work, RefusalCode::RepeatsSpent, out);
             }
         }
     }
--- a/crates/engine/tests/session/server_limit.rs
+++ b/crates/engine/tests/session/server_limit.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use sycamorelink_core::RequestId;
-use sycamorelink_engine::{LimitNotice, ServerNotice};
+use sycamorelink_core::{RequestId, ServiceName};
+use sycamorelink_engine::{LimitNotice, NodeEvent, ServerNotice, UpstreamAnnouncement};
+use sycamorelink_policy::UpstreamPhase;
 
 use crate::fleet_contract::{contract, fail_backends_of};
 use crate::world::{BackendScript, SessionWorld, name_of, node};
@@ -180,3 +181,54 @@
     let limit = LIMIT_RATE * LIMIT_WINDOW.as_secs_f64() + 2.0;
     assert!(most <= limit, "{most} requests");
 }
+
+// Guards against slots that are never freed: work that waited when its server first named a limit
+// was refused, and later the gate gave it a slot.
+#[test]
+fn refused_work_gets_no_slot_after_a_first_limit() {
+    let mut world = limited_fleet(LimitNotice::Rate(20.0));
+    for number in 1..=60 {
+        let ingress = name_of(u8::try_from(number % 4).unwrap_or(0));
+        world.call(&ingress, number, "GET", "/prices/1", None);
+    }
+    world.run_for(SETTLE_TIME);
+    set_limit(&mut world, "a", LimitNotice::Absent);
+    send_requests(&mut world, 61, SETTLE_TIME);
+    let load = world.engines()[&node("a")].load_of(0);
+    assert_eq!((load.in_use, load.queued), (0, 0));
+}
+
+// Guards against a leaving server that never becomes idle: work that waited when the server started
+// to leave was refused, and the gate gave it the slots of work that ended.
+#[test]
+fn refused_work_gets_no_slot_of_a_leaving_server() {
+    let mut contract = contract(3, "/prices/");
+    for route in &mut contract.routes {
+        route.objective = route.deadline;
+    }
+    let mut world = SessionWorld::start_fleet_in(2, FLEET_SIZE, contract);
+    let script = BackendScript {
+        time: SETTLE_TIME,
+        ..BackendScript::default()
+    };
+    world.scripts.insert(node("a"), script);
+    for number in 1..=60 {
+        let ingress = name_of(u8::try_from(number % 4).unwrap_or(0));
+        world.call(&ingress, number, "GET", "/prices/1", None);
+    }
+    world.run_for(REQUEST_INTERVAL);
+    let load = world.engines()[&node("a")].load_of(0);
+    assert!(load.queued > 0, "work waits");
+    let announced = UpstreamAnnouncement {
+        slot: 0,
+        service: ServiceName::new("orders"),
+        slots: 5,
+        phase: UpstreamPhase::Leaving,
+        life: None,
+        warm_up: None,
+    };
+    world.send_event("a", NodeEvent::UpstreamAnnounced(announced));
+    world.run_for(SETTLE_TIME * 2);
+    let load = world.engines()[&node("a")].load_of(0);
+    assert_eq!((load.in_use, load.queued), (0, 0));
+}
