Let the session of fair queueing call a second service

flooding_account_does_not_displace_a_small_one failed at its check of the accounts of calls. Its calls went to the service of the runs that make them, and such calls are not attributed on purpose: a node can't tell them from callers of that service that allow the same time. The test was wrong about this since that rule was introduced.

The calls now go to a service of their own with as many servers, which the large account floods as well with twice its capacity. All checks are as they were.

--- a/crates/engine/tests/session/fair_queueing.rs
+++ b/crates/engine/tests/session/fair_queueing.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sycamorelink_contract::{ContentDigest, FleetAccount, FleetContract};
-use sycamorelink_core::{CustomerName, RequestId};
-use sycamorelink_engine::{AttemptOrder, CallerRequest, NodeEvent};
+use sycamorelink_contract::{ContentDigest, FleetAccount, FleetContract, FleetRoute, RoutePart};
+use sycamorelink_core::{CustomerName, RequestId, ServiceName};
+use sycamorelink_engine::{AttemptOrder, CallerRequest, NodeEvent, UpstreamAnnouncement};
 use sycamorelink_limits::OverloadSettings;
-use sycamorelink_policy::PolicyMechanism;
+use sycamorelink_policy::{PolicyMechanism, UpstreamPhase};
 
 use crate::fleet_contract::contract;
 use crate::world::{BackendScript, SessionWorld, caller_request, name_of, node};
@@ -20,6 +20,11 @@
 /// Account that floods the fleet, and one that sends little; the name is the key, too.
 const LARGE: &str = "mill";
 const SMALL: &str = "harbour";
+/// Targets of requests, and of the calls that their runs make to another service.
+const REQUEST_TARGET: &str = "/prices/a";
+const CALL_TARGET: &str = "/stock/a";
+/// First number of the requests of the large account to the called service.
+const LARGE_CALLED: u128 = 50_000;
 /// First number of the requests of the small account, and of calls.
 const SMALL_REQUESTS: u128 = 100_000;
 const CALLS: u128 = 200_000;
@@ -32,6 +37,17 @@
         // Calls of backend servers carry no account key.
         route.public = true;
     }
+    let called = ServiceName::new("stock");
+    contract.routes.push(FleetRoute {
+        name: Arc::from("stock"),
+        prefix: Arc::from("/stock/"),
+        parts: vec![RoutePart {
+            service: called.clone(),
+            weight: 1,
+        }],
+        ..contract.routes[1].clone()
+    });
+    contract.services.push(called);
     contract.accounts = accounts
         .iter()
         .map(|name| FleetAccount {
@@ -61,12 +77,38 @@
     world
 }
 
+/// Starts a server of the called service beside each node.
+fn add_called_servers(world: &mut SessionWorld) {
+    for name in (0..FLEET_SIZE).map(name_of) {
+        let announced = UpstreamAnnouncement {
+            slot: 1,
+            service: ServiceName::new("stock"),
+            slots: 5,
+            phase: UpstreamPhase::Ready,
+            life: None,
+            warm_up: None,
+        };
+        world.send_event(&name, NodeEvent::UpstreamAnnounced(announced));
+    }
+    world.run_for(Duration::from_secs(4));
+}
+
 fn send(world: &mut SessionWorld, number: u128, account: Option<&str>, time_left: Duration) {
+    send_to(world, REQUEST_TARGET, number, account, time_left);
+}
+
+fn send_to(
+    world: &mut SessionWorld,
+    target: &str,
+    number: u128,
+    account: Option<&str>,
+    time_left: Duration,
+) {
     let ingress = name_of(u8::try_from(number % u128::from(FLEET_SIZE)).unwrap_or(0));
     let request = CallerRequest {
         account_key: account.map(|name| ContentDigest::of(name.as_bytes())),
         time_left: Some(time_left),
-        ..caller_request(number, "GET", "/prices/a", None)
+        ..caller_request(number, "GET", target, None)
     };
     world.send_caller(&ingress, request);
 }
@@ -82,14 +124,16 @@
     calls_ran: usize,
 }
 
-/// Sends a load for 20 s: the large account sends twice the capacity, the small one a tenth of it, and
-/// each run of the small account makes a call.
+/// Sends a load for 20 s: the large account sends twice the capacity to each service, the small one a
+/// tenth of it to the first, and each run of the small account makes a call to the other service.
 fn flood(world: &mut SessionWorld) -> AccountRuns {
     let mut sent = AccountRuns::default();
     let mut deadlines = BTreeMap::new();
     for step in 0..800_u128 {
         send(world, step, Some(LARGE), DEADLINE);
-        sent.large_sent += 1;
+        let number = LARGE_CALLED + step;
+        send_to(world, CALL_TARGET, number, Some(LARGE), DEADLINE);
+        sent.large_sent += 2;
         if step % 20 == 10 {
             let number = SMALL_REQUESTS + step;
             send(world, number, Some(SMALL), DEADLINE);
@@ -133,7 +177,7 @@
             .expect("a node of the fleet");
         let call = CallerRequest {
             time_left: Some(deadline.saturating_sub(world.now())),
-            ..caller_request(number - SMALL_REQUESTS + CALLS, "GET", "/prices/a", None)
+            ..caller_request(number - SMALL_REQUESTS + CALLS, "GET", CALL_TARGET, None)
         };
         world.send_caller(&name, call);
     }
@@ -145,6 +189,7 @@
 #[test]
 fn flooding_account_does_not_displace_a_small_one() {
     let mut world = fleet_with(&[LARGE, SMALL], &[]);
+    add_called_servers(&mut world);
     let shared = flood(&mut world);
     println!("{shared:?}");
     assert_eq!(shared.small_ran, shared.small_sent, "{shared:?}");
@@ -157,6 +202,7 @@
     let account = |order: &AttemptOrder| order.terms.clone().and_then(|terms| terms.account);
     assert!(calls.all(|order| account(order) == small));
     let mut world = fleet_with(&[LARGE, SMALL], &[PolicyMechanism::FairQueueing]);
+    add_called_servers(&mut world);
     let one_lane = flood(&mut world);
     println!("{one_lane:?}");
     assert!(one_lane.small_ran < one_lane.small_sent, "{one_lane:?}");
