--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -15,19 +15,17 @@
 use http::{HeaderMap, Request, Response};
 use sycamorelink_core::{AttemptId, RefusalCode, RequestId, RequestRefusal, RunState, stable_hash};
 use sycamorelink_engine::{AttemptOrder, AttemptReport, NodeEvent};
-use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_policy::SampleKind;
 use sycamorelink_telemetry::{EventCode, EventFields};
 use tokio::sync::{mpsc, oneshot};
 use xitca_web::body::{RequestBody, ResponseBody};
 
 use super::head::request_target;
-use super::request_body::{CallerBody, EndCheck, read_up_to, stream_to_attempt};
+use super::request_body::{CallerBody, EndCheck};
 use super::response::{replay_response, reply_unavailable_response};
 use super::socket::{CallerSocket, wait_for_disconnect};
 use super::stream::{StreamedReply, stream_body};
 use super::{COMMAND_DEPTH, CallerCommand, CallerContext};
-use crate::body::{BodyReceiver, body_channel, whole_body};
 use crate::inbox::DecisionInput;
 use crate::memory::{MemoryAccount, MemoryReservation};
 use crate::metrics::EventPort;
@@ -135,32 +133,25 @@
     cancel: oneshot::Sender<()>,
 }
 
-/// Reason why a body could not be buffered.
-enum BufferError {
-    /// The decision thread refused the request while the body was being read.
-    Refused(RequestRefusal),
-    /// The body is incomplete or does not fit into the memory account.
-    Broken(RefusalCode),
-}
-
-struct CallerExchange {
+/// State of one request. The methods that read its body are in [`super::exchange_body`].
+pub(super) struct CallerExchange {
     socket: Option<CallerSocket>,
-    context: Arc<CallerContext>,
-    id: RequestId,
-    target: String,
-    method: String,
+    pub(super) context: Arc<CallerContext>,
+    pub(super) id: RequestId,
+    pub(super) target: String,
+    pub(super) method: String,
     headers: HeaderMap,
-    body: CallerBody,
-    replayable: bool,
-    end_check: EndCheck,
+    pub(super) body: CallerBody,
+    pub(super) replayable: bool,
+    pub(super) end_check: EndCheck,
     /// Reservation for the body until it is buffered.
-    memory: Option<MemoryReservation>,
-    body_end_sender: mpsc::Sender<Result<(), RefusalCode>>,
+    pub(super) memory: Option<MemoryReservation>,
+    pub(super) body_end_sender: mpsc::Sender<Result<(), RefusalCode>>,
     /// Result of streaming the body to an attempt.
     body_ends: mpsc::Receiver<Result<(), RefusalCode>>,
-    commands: mpsc::Receiver<CallerCommand>,
+    pub(super) commands: mpsc::Receiver<CallerCommand>,
     /// Commands that arrived while the body was being read.
-    deferred: VecDeque<CallerCommand>,
+    pub(super) deferred: VecDeque<CallerCommand>,
     part_sender: mpsc::Sender<NumberedPart>,
     parts: mpsc::Receiver<NumberedPart>,
     attempts: BTreeMap<u16, AttemptProgress>,
@@ -226,31 +217,13 @@
         }
     }
 
-    fn refuse_request(&mut self, refusal: &RequestRefusal) -> Response<ResponseBody> {
+    pub(super) fn refuse_request(&mut self, refusal: &RequestRefusal) -> Response<ResponseBody> {
         self.answered = true;
         refuse(&self.context, self.id, refusal)
     }
 
-    /// Buffers the body and sends its fingerprint to the decision thread.
-    async fn read_body(&mut self, limit: u64) -> Option<Response<ResponseBody>> {
-        if let Some(response) = self.buffer_body(limit).await {
-            return Some(response);
-        }
-        let Some(bytes) = self.body.kept() else {
-            return Some(self.abort(RefusalCode::BodyTooLarge).await);
-        };
-        let fingerprint = KeyFingerprint::of(&self.method, &self.target, bytes);
-        let request = self.id;
-        self.send_event(NodeEvent::BodyRead {
-            request,
-            fingerprint,
-        })
-        .await;
-        None
-    }
-
     /// Aborts the request for a reason that the exchange detected and notifies the decision thread.
-    async fn abort(&mut self, code: RefusalCode) -> Response<ResponseBody> {
+    pub(super) async fn abort(&mut self, code: RefusalCode) -> Response<ResponseBody> {
         self.send_event(NodeEvent::CallerGone { request: self.id })
             .await;
         let retry_after = (code == RefusalCode::Overloaded).then_some(MEMORY_RETRY_DELAY);
@@ -321,121 +294,6 @@
         body.map_or(0, |bytes| stable_hash(&[&head.to_be_bytes(), bytes]))
     }
 
-    /// Reads the body to keep it for every attempt. A body beyond the replay limit is left to be
-    /// streamed, and the decision thread is told that it can be sent only once.
-    async fn keep_body(&mut self, max_body: u64) -> Option<Response<ResponseBody>> {
-        let limit = max_body.min(self.context.replay_limit());
-        if let Some(response) = self.buffer_body(limit).await {
-            return Some(response);
-        }
-        let CallerBody::Unsent { prefix, .. } = &self.body else {
-            return None;
-        };
-        if prefix.len() as u64 > max_body {
-            return Some(self.abort(RefusalCode::BodyTooLarge).await);
-        }
-        self.replayable = false;
-        let request = self.id;
-        self.send_event(NodeEvent::BodyNotKept { request }).await;
-        None
-    }
-
-    /// Reads the body until its end or until it exceeds `limit` bytes. Returns a response early when
-    /// the body is incomplete, or when the decision thread refuses the request, which bounds the
-    /// wait for a slow caller by its deadline.
-    async fn buffer_body(&mut self, limit: u64) -> Option<Response<ResponseBody>> {
-        let CallerBody::Unsent { rest, .. } = &mut self.body else {
-            return None;
-        };
-        let check = self.end_check.clone();
-        let mut memory = self
-            .memory
-            .take()
-            .unwrap_or_else(|| self.context.memory.reserve(0));
-        let read = {
-            let read = read_up_to(rest, limit, &check, &mut memory);
-            tokio::pin!(read);
-            loop {
-                tokio::select! {
-                    bytes = &mut read => break bytes.map_err(BufferError::Broken),
-                    command = self.commands.recv() => match command {
-                        Some(CallerCommand::Refuse(refusal)) =>
-                            break Err(BufferError::Refused(refusal)),
-                        Some(command) => self.deferred.push_back(command),
-                        None => break Err(BufferError::Broken(RefusalCode::Draining)),
-                    },
-                }
-            }
-        };
-        match read {
-            Ok((bytes, true)) => {
-                self.body = CallerBody::Kept(memory.hold(bytes));
-                None
-            }
-            Ok((bytes, false)) => {
-                if let CallerBody::Unsent { prefix, .. } = &mut self.body {
-                    *prefix = memory.hold(bytes);
-                }
-                None
-            }
-            Err(BufferError::Refused(refusal)) => Some(self.refuse_request(&refusal)),
-            Err(BufferError::Broken(code)) => {
-                if code == RefusalCode::Overloaded {
-                    report_exhausted(&self.context.events, &self.context.memory, memory.bytes());
-                }
-                Some(self.abort(code).await)
-            }
-        }
-    }
-
-    fn has_deferred_cancel(&self, number: u16) -> bool {
-        let mut deferred = self.deferred.iter();
-        deferred.any(|command| matches!(command, CallerCommand::Cancel(other) if *other == number))
-    }
-
-    /// Returns the body for the next attempt and its length, if known. Returns `None` when the body
-    /// was streamed to an earlier attempt.
-    fn attempt_body(&mut self, max_body: u64) -> Option<(BodyReceiver, Option<u64>)> {
-        if let Some(bytes) = self.body.kept() {
-            return Some((whole_body(bytes.clone()), Some(bytes.len() as u64)));
-        }
-        match std::mem::replace(&mut self.body, CallerBody::Streaming) {
-            CallerBody::Unsent { prefix, rest } => {
-                let (sender, receiver) = body_channel();
-                let check = self.end_check.clone();
-                let memory = self.context.memory.clone();
-                let ends = self.body_end_sender.clone();
-                let body = (prefix, rest);
-                tokio::task::spawn_local(stream_to_attempt(
-                    body, sender, max_body, check, memory, ends,
-                ));
-                Some((receiver, self.end_check.declared))
-            }
-            sent => {
-                self.body = sent;
-                None
-            }
-        }
-    }
-
-    /// Ends an attempt that was ordered before the decision thread knew that the body can be sent
-    /// only once.
-    async fn reject_attempt(&self, order: &AttemptOrder) {
-        let report = AttemptReport {
-            attempt: order.attempt,
-            kind: SampleKind::Cancelled,
-            run: RunState::NotRun,
-            status: None,
-            latency: Duration::ZERO,
-            service_time: None,
-            load: None,
-            code: None,
-            retry_after: None,
-            reply_bytes: 0,
-        };
-        self.send_event(NodeEvent::AttemptEnded(report)).await;
-    }
-
     async fn on_part(&mut self, number: u16, part: ReplyPart) -> Option<Response<ResponseBody>> {
         let progress = self.attempts.get_mut(&number)?;
         match part {
@@ -523,7 +381,7 @@
         Some(self.reply(&head, body))
     }
 
-    async fn send_event(&self, event: NodeEvent) {
+    pub(super) async fn send_event(&self, event: NodeEvent) {
         self.context.inbox.send(DecisionInput::Event(event)).await;
     }
 }
@@ -544,7 +402,7 @@
     sample_kind(head.status) == SampleKind::Served
 }
 
-fn report_exhausted(events: &EventPort, memory: &MemoryAccount, bytes: u64) {
+pub(super) fn report_exhausted(events: &EventPort, memory: &MemoryAccount, bytes: u64) {
     let limit = memory.limit().unwrap_or_default();
     let reason = format!("{bytes} bytes needed");
     let (used, fields) = (memory.used(), EventFields::new());
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -12,6 +12,7 @@
 //! decision thread makes every decision.
 
 mod exchange;
+mod exchange_body;
 mod head;
 mod request_body;
 mod response;
