Remember the withdrawal of a server that is not known yet

The daemon beside it had restarted. The withdrawal was the first word of the server to the new incarnation, which acknowledged it and forgot it, since no such server was known. A delayed heartbeat from before the withdrawal then counted as that of a ready server. Evidence: the log of the daemon has no event of the server at the acknowledged withdrawal (20.600 s) and then SL1010 and SL1011 at 23.247 s, followed by SL2017 for the late requests.

Such withdrawals are now recorded for a minute, like the servers that were leaving before a restart, and replicated for the next incarnation.

server_that_withdraws_before_its_first_announcement_is_not_accepted failed before and passes.

--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -9,7 +9,7 @@
 
 use crate::command::NodeCommand;
 use crate::event::{LifeId, UpstreamAnnouncement};
-use crate::leaving::life_of;
+use crate::leaving::{LeavingServer, life_of};
 use crate::local_upstream::LocalUpstream;
 use crate::node::{CLOSE_GRACE, NodeEngine};
 use crate::note::NodeNote;
@@ -28,8 +28,14 @@
         let Some(announced) = self.admit_announcement(announced) else {
             return;
         };
-        if announced.phase == UpstreamPhase::Leaving {
-            self.replicate_leaving(&announced, out);
+        if announced.phase == UpstreamPhase::Leaving
+            && let Some(life) = life_of(&announced)
+        {
+            let leaving = LeavingServer {
+                slot: announced.slot,
+                life: life.clone(),
+            };
+            self.replicate_leaving(&leaving, out);
         }
         let slot = announced.slot;
         let expires_at = now + self.settings.announcement;
@@ -152,6 +158,9 @@
     ) {
         self.drop_held_announcement(slot, life);
         let Some(known) = self.upstreams.get_mut(&slot) else {
+            if let Some(life) = life {
+                self.remember_withdrawal(now, slot, life, out);
+            }
             return;
         };
         let Some(id) = life else {
--- a/crates/engine/src/leaving.rs
+++ b/crates/engine/src/leaving.rs
@@ -72,6 +72,8 @@
 pub(crate) struct LeavingRecords {
     stored: BTreeMap<NodeId, Vec<LeavingRecord>>,
     previous: Vec<LeavingServer>,
+    /// Local servers that withdrew before they announced themselves to this incarnation of the node.
+    withdrawn: Vec<LeavingRecord>,
     lookup: LeavingLookup,
 }
 
@@ -127,15 +129,17 @@
             stored.retain(|stored| now < stored.until);
             !stored.is_empty()
         });
+        self.withdrawn.retain(|withdrawn| now < withdrawn.until);
     }
 
-    /// Returns whether the announced server was leaving in the previous incarnation of the node.
+    /// Returns whether the announced server was leaving in the previous incarnation of the node, or
+    /// withdrew before its first announcement to this one.
     fn was_leaving(&self, announced: &UpstreamAnnouncement) -> bool {
         let life = announced.life.as_ref();
         life.is_some_and(|life| {
-            let mut previous = self.previous.iter();
-            previous
-                .any(|previous| previous.slot == announced.slot && previous.life.matches(&life.id))
+            let withdrawn = self.withdrawn.iter().map(|withdrawn| &withdrawn.leaving);
+            let mut leaving = self.previous.iter().chain(withdrawn);
+            leaving.any(|leaving| leaving.slot == announced.slot && leaving.life.matches(&life.id))
         })
     }
 
@@ -191,19 +195,40 @@
         }
     }
 
-    /// Sends a leaving server to the replicas, for this node's next incarnation.
-    pub(crate) fn replicate_leaving(
+    /// Records the withdrawal of a server that has not announced itself yet. Its delayed
+    /// announcement may still arrive.
+    pub(crate) fn remember_withdrawal(
         &mut self,
-        announced: &UpstreamAnnouncement,
+        now: Duration,
+        slot: u16,
+        life: &LifeId,
         out: &mut Vec<NodeCommand>,
     ) {
-        let Some(life) = life_of(announced).filter(|_| self.uses_fleet_contract()) else {
-            return;
-        };
         let leaving = LeavingServer {
-            slot: announced.slot,
+            slot,
             life: life.clone(),
         };
+        let withdrawn = &mut self.leaving_records.withdrawn;
+        withdrawn.retain(|other| other.leaving != leaving);
+        withdrawn.push(LeavingRecord {
+            leaving: leaving.clone(),
+            until: now + RECORD_LIFETIME,
+        });
+        if withdrawn.len() > MAX_RECORDS_PER_NODE {
+            withdrawn.remove(0);
+        }
+        self.replicate_leaving(&leaving, out);
+    }
+
+    /// Sends a leaving server to the replicas, for this node's next incarnation.
+    pub(crate) fn replicate_leaving(
+        &mut self,
+        leaving: &LeavingServer,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        if !self.uses_fleet_contract() {
+            return;
+        }
         for replica in self.replicas_of(self.own.instance.node) {
             let message = LeavingMessage::Leaves(leaving.clone());
             self.send_peer(replica, PeerMessage::Leaving(message), out);
--- a/crates/engine/tests/session/leaving.rs
+++ b/crates/engine/tests/session/leaving.rs
@@ -115,6 +115,24 @@
     assert_ne!(phase_of(&world), Some(UpstreamPhase::Ready));
 }
 
+// Guards against a withdrawal that a restarted daemon acknowledges and forgets, because the server has
+// not announced itself to it yet: a delayed announcement then counts as that of a ready server.
+#[test]
+fn server_that_withdraws_before_its_first_announcement_is_not_accepted() {
+    let mut world = fleet_with_leaving_server();
+    restart(&mut world);
+    world.run_for(ACCEPT_LIMIT);
+    let life = Some(LifeId {
+        name: Arc::from("t"),
+        started: None,
+    });
+    world.send_event("a", NodeEvent::UpstreamWithdrawn { slot: 0, life });
+    world.run_for(Duration::from_millis(2_600));
+    announce(&mut world, ("t", 9_000), 5, UpstreamPhase::Ready);
+    world.run_for(Duration::from_secs(2));
+    assert_ne!(phase_of(&world), Some(UpstreamPhase::Ready));
+}
+
 // Guards against idle capacity: a server that restarted under its name is not leaving.
 #[test]
 fn server_restarted_under_its_name_is_accepted() {
