Reuse what existed for leaving servers, reports and test requests

No change of behaviour. A withdrawal of an unknown server is kept in the store of leaving servers, under the own node, in place of a copy of that store. The exchange holds its connection and the declared length once. Reports of attempts without a reply share one function.

Tests use the announcements of the session world, one function that sends a request there, and one that closes the sending direction; bad_input uses the last one too. Their assertions are as they were.

--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -21,7 +21,7 @@
 use xitca_web::body::{RequestBody, ResponseBody};
 
 use super::head::request_target;
-use super::request_body::{CallerBody, EndCheck};
+use super::request_body::CallerBody;
 use super::response::{replay_response, reply_unavailable_response};
 use super::socket::{CallerSocket, wait_for_disconnect};
 use super::stream::{StreamedReply, stream_body};
@@ -81,9 +81,8 @@
     }
     let (part_sender, parts) = mpsc::channel(REPLY_DEPTH);
     let (body_end_sender, body_ends) = mpsc::channel(1);
-    let socket = context.sockets.get(peer);
     let exchange = CallerExchange {
-        socket: socket.clone(),
+        socket: context.sockets.get(peer),
         context,
         id,
         target: request_target(&request).to_owned(),
@@ -94,7 +93,7 @@
             rest: body,
         },
         replayable,
-        end_check: EndCheck { declared, socket },
+        declared,
         memory: Some(memory),
         body_end_sender,
         body_ends,
@@ -135,7 +134,7 @@
 
 /// State of one request. The methods that read its body are in [`super::exchange_body`].
 pub(super) struct CallerExchange {
-    socket: Option<CallerSocket>,
+    pub(super) socket: Option<CallerSocket>,
     pub(super) context: Arc<CallerContext>,
     pub(super) id: RequestId,
     pub(super) target: String,
@@ -143,7 +142,8 @@
     headers: HeaderMap,
     pub(super) body: CallerBody,
     pub(super) replayable: bool,
-    pub(super) end_check: EndCheck,
+    /// Declared length of the body in bytes; `None` for a chunked body.
+    pub(super) declared: Option<u64>,
     /// Reservation for the body until it is buffered.
     pub(super) memory: Option<MemoryReservation>,
     pub(super) body_end_sender: mpsc::Sender<Result<(), RefusalCode>>,
@@ -171,7 +171,7 @@
                 }
                 continue;
             }
-            let body_read = self.body.is_read() || self.end_check.declared == Some(0);
+            let body_read = self.body.is_read() || self.declared == Some(0);
             tokio::select! {
                 () = &mut disconnected, if body_read =>
                     return self.abort(RefusalCode::CallerGone).await,
@@ -419,17 +419,29 @@
 }
 
 fn attempt_report(progress: &AttemptProgress, kind: SampleKind, run: RunState) -> AttemptReport {
-    let attempt: AttemptId = progress.order.attempt;
+    AttemptReport {
+        latency: progress.started.elapsed(),
+        reply_bytes: u64::try_from(progress.buffer.len()).unwrap_or(u64::MAX),
+        ..report_without_reply(progress.order.attempt, kind, run)
+    }
+}
+
+/// Returns the report of an attempt of which nothing else is known.
+pub(super) fn report_without_reply(
+    attempt: AttemptId,
+    kind: SampleKind,
+    run: RunState,
+) -> AttemptReport {
     AttemptReport {
         attempt,
         kind,
         run,
         status: None,
-        latency: progress.started.elapsed(),
+        latency: Duration::ZERO,
         service_time: None,
         load: None,
         code: None,
         retry_after: None,
-        reply_bytes: u64::try_from(progress.buffer.len()).unwrap_or(u64::MAX),
+        reply_bytes: 0,
     }
 }
--- a/crates/daemon/src/callers/exchange_body.rs
+++ b/crates/daemon/src/callers/exchange_body.rs
@@ -1,17 +1,15 @@
 //! Body of the request of one exchange: read and kept, or streamed to one attempt.
 
-use std::time::Duration;
-
 use http::Response;
 use sycamorelink_core::{RefusalCode, RequestRefusal, RunState};
-use sycamorelink_engine::{AttemptOrder, AttemptReport, NodeEvent};
+use sycamorelink_engine::{AttemptOrder, NodeEvent};
 use sycamorelink_guard::KeyFingerprint;
 use sycamorelink_policy::SampleKind;
 use xitca_web::body::ResponseBody;
 
 use super::CallerCommand;
-use super::exchange::{CallerExchange, report_exhausted};
-use super::request_body::{CallerBody, read_up_to, stream_to_attempt};
+use super::exchange::{CallerExchange, report_exhausted, report_without_reply};
+use super::request_body::{CallerBody, EndCheck, read_up_to, stream_to_attempt};
 use crate::body::{BodyReceiver, body_channel, whole_body};
 
 /// Reason why a body could not be buffered.
@@ -64,10 +62,10 @@
     /// the body is incomplete, or when the decision thread refuses the request, which bounds the
     /// wait for a slow caller by its deadline.
     async fn buffer_body(&mut self, limit: u64) -> Option<Response<ResponseBody>> {
+        let check = self.end_check();
         let CallerBody::Unsent { rest, .. } = &mut self.body else {
             return None;
         };
-        let check = self.end_check.clone();
         let mut memory = self
             .memory
             .take()
@@ -108,6 +106,13 @@
         }
     }
 
+    fn end_check(&self) -> EndCheck {
+        EndCheck {
+            declared: self.declared,
+            socket: self.socket.clone(),
+        }
+    }
+
     pub(super) fn has_deferred_cancel(&self, number: u16) -> bool {
         let mut deferred = self.deferred.iter();
         deferred.any(|command| matches!(command, CallerCommand::Cancel(other) if *other == number))
@@ -122,14 +127,14 @@
         match std::mem::replace(&mut self.body, CallerBody::Streaming) {
             CallerBody::Unsent { prefix, rest } => {
                 let (sender, receiver) = body_channel();
-                let check = self.end_check.clone();
+                let check = self.end_check();
                 let memory = self.context.memory.clone();
                 let ends = self.body_end_sender.clone();
                 let body = (prefix, rest);
                 tokio::task::spawn_local(stream_to_attempt(
                     body, sender, max_body, check, memory, ends,
                 ));
-                Some((receiver, self.end_check.declared))
+                Some((receiver, self.declared))
             }
             sent => {
                 self.body = sent;
@@ -141,18 +146,7 @@
     /// Ends an attempt that was ordered before the decision thread knew that the body can be sent
     /// only once.
     pub(super) async fn reject_attempt(&self, order: &AttemptOrder) {
-        let report = AttemptReport {
-            attempt: order.attempt,
-            kind: SampleKind::Cancelled,
-            run: RunState::NotRun,
-            status: None,
-            latency: Duration::ZERO,
-            service_time: None,
-            load: None,
-            code: None,
-            retry_after: None,
-            reply_bytes: 0,
-        };
+        let report = report_without_reply(order.attempt, SampleKind::Cancelled, RunState::NotRun);
         self.send_event(NodeEvent::AttemptEnded(report)).await;
     }
 }
--- a/crates/daemon/src/callers/request_body.rs
+++ b/crates/daemon/src/callers/request_body.rs
@@ -48,7 +48,6 @@
 ///
 /// The HTTP library reports a body that the caller cut off as complete, and without the check the
 /// backend server would run half a request.
-#[derive(Clone)]
 pub struct EndCheck {
     /// Declared length of the body in bytes; `None` for a chunked body.
     pub declared: Option<u64>,
--- a/crates/engine/src/leaving.rs
+++ b/crates/engine/src/leaving.rs
@@ -67,13 +67,12 @@
     pub life: LifeId,
 }
 
-/// Leaving servers stored for other nodes, and those of this node's previous incarnation.
+/// Leaving servers stored for other nodes, those of this node's previous incarnation, and, under this
+/// node, its servers that withdrew before they announced themselves to it.
 #[derive(Debug, Default)]
 pub(crate) struct LeavingRecords {
     stored: BTreeMap<NodeId, Vec<LeavingRecord>>,
     previous: Vec<LeavingServer>,
-    /// Local servers that withdrew before they announced themselves to this incarnation of the node.
-    withdrawn: Vec<LeavingRecord>,
     lookup: LeavingLookup,
 }
 
@@ -129,15 +128,15 @@
             stored.retain(|stored| now < stored.until);
             !stored.is_empty()
         });
-        self.withdrawn.retain(|withdrawn| now < withdrawn.until);
     }
 
-    /// Returns whether the announced server was leaving in the previous incarnation of the node, or
+    /// Returns whether the announced server was leaving in the previous incarnation of this node, or
     /// withdrew before its first announcement to this one.
-    fn was_leaving(&self, announced: &UpstreamAnnouncement) -> bool {
+    fn was_leaving(&self, own: NodeId, announced: &UpstreamAnnouncement) -> bool {
         let life = announced.life.as_ref();
         life.is_some_and(|life| {
-            let withdrawn = self.withdrawn.iter().map(|withdrawn| &withdrawn.leaving);
+            let withdrawn = self.stored.get(&own).into_iter().flatten();
+            let withdrawn = withdrawn.map(|record| &record.leaving);
             let mut leaving = self.previous.iter().chain(withdrawn);
             leaving.any(|leaving| leaving.slot == announced.slot && leaving.life.matches(&life.id))
         })
@@ -170,7 +169,8 @@
             self.leaving_records.lookup.held.remove(&announced.slot);
             return Some(announced);
         }
-        if self.leaving_records.was_leaving(&announced) {
+        let own = self.own.instance.node;
+        if self.leaving_records.was_leaving(own, &announced) {
             let phase = UpstreamPhase::Leaving;
             return Some(UpstreamAnnouncement { phase, ..announced });
         }
@@ -208,15 +208,8 @@
             slot,
             life: life.clone(),
         };
-        let withdrawn = &mut self.leaving_records.withdrawn;
-        withdrawn.retain(|other| other.leaving != leaving);
-        withdrawn.push(LeavingRecord {
-            leaving: leaving.clone(),
-            until: now + RECORD_LIFETIME,
-        });
-        if withdrawn.len() > MAX_RECORDS_PER_NODE {
-            withdrawn.remove(0);
-        }
+        let own = self.own.instance.node;
+        self.leaving_records.store(now, own, leaving.clone());
         self.replicate_leaving(&leaving, out);
     }
 
--- a/crates/engine/tests/session/attribution.rs
+++ b/crates/engine/tests/session/attribution.rs
@@ -5,10 +5,7 @@
 
 use sycamorelink_contract::{ContentDigest, FleetAccount, FleetContract, FleetRoute, RoutePart};
 use sycamorelink_core::{CustomerName, RequestId, ServiceName};
-use sycamorelink_engine::{
-    ArrivalKind, AttemptOrder, CallerRequest, NodeEvent, UpstreamAnnouncement,
-};
-use sycamorelink_policy::UpstreamPhase;
+use sycamorelink_engine::{ArrivalKind, AttemptOrder, CallerRequest, NodeEvent};
 
 use crate::fleet_contract::{contract, fail_backends_of};
 use crate::world::{BackendScript, SessionWorld, caller_request, node};
@@ -59,15 +56,7 @@
         life: None,
     };
     world.send_event("b", gone);
-    let announced = UpstreamAnnouncement {
-        slot: 1,
-        service: ServiceName::new("stock"),
-        slots: 5,
-        phase: UpstreamPhase::Ready,
-        life: None,
-        warm_up: None,
-    };
-    world.send_event("b", NodeEvent::UpstreamAnnounced(announced));
+    world.announce_second("b", &ServiceName::new("stock"));
     world.run_for(Duration::from_secs(4));
     for name in names {
         let script = BackendScript {
--- a/crates/engine/tests/session/fair_queueing.rs
+++ b/crates/engine/tests/session/fair_queueing.rs
@@ -6,9 +6,9 @@
 
 use sycamorelink_contract::{ContentDigest, FleetAccount, FleetContract, FleetRoute, RoutePart};
 use sycamorelink_core::{CustomerName, RequestId, ServiceName};
-use sycamorelink_engine::{AttemptOrder, CallerRequest, NodeEvent, UpstreamAnnouncement};
+use sycamorelink_engine::{AttemptOrder, CallerRequest, NodeEvent};
 use sycamorelink_limits::OverloadSettings;
-use sycamorelink_policy::{PolicyMechanism, UpstreamPhase};
+use sycamorelink_policy::PolicyMechanism;
 
 use crate::fleet_contract::contract;
 use crate::world::{BackendScript, SessionWorld, caller_request, name_of, node};
@@ -80,15 +80,7 @@
 /// Starts a server of the called service beside each node.
 fn add_called_servers(world: &mut SessionWorld) {
     for name in (0..FLEET_SIZE).map(name_of) {
-        let announced = UpstreamAnnouncement {
-            slot: 1,
-            service: ServiceName::new("stock"),
-            slots: 5,
-            phase: UpstreamPhase::Ready,
-            life: None,
-            warm_up: None,
-        };
-        world.send_event(&name, NodeEvent::UpstreamAnnounced(announced));
+        world.announce_second(&name, &ServiceName::new("stock"));
     }
     world.run_for(Duration::from_secs(4));
 }
--- a/crates/engine/tests/session/server_limit.rs
+++ b/crates/engine/tests/session/server_limit.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use sycamorelink_core::{RequestId, ServiceName};
-use sycamorelink_engine::{LimitNotice, NodeEvent, ServerNotice, UpstreamAnnouncement};
+use sycamorelink_core::RequestId;
+use sycamorelink_engine::{LimitNotice, ServerNotice};
 use sycamorelink_policy::UpstreamPhase;
 
 use crate::fleet_contract::{contract, fail_backends_of};
@@ -42,13 +42,18 @@
     world
 }
 
+/// Sends one request through the node whose turn it is.
+fn send_request(world: &mut SessionWorld, number: u128) {
+    let ingress = name_of(u8::try_from(number % u128::from(FLEET_SIZE)).unwrap_or(0));
+    world.call(&ingress, number, "GET", "/prices/1", None);
+}
+
 /// Sends requests through all nodes in turn.
 fn send_requests(world: &mut SessionWorld, first: u128, time: Duration) -> u128 {
     let until = world.now() + time;
     let mut number = first;
     while world.now() < until {
-        let ingress = name_of(u8::try_from(number % u128::from(FLEET_SIZE)).unwrap_or(0));
-        world.call(&ingress, number, "GET", "/prices/1", None);
+        send_request(world, number);
         world.run_for(REQUEST_INTERVAL);
         number += 1;
     }
@@ -188,8 +193,7 @@
 fn refused_work_gets_no_slot_after_a_first_limit() {
     let mut world = limited_fleet(LimitNotice::Rate(20.0));
     for number in 1..=60 {
-        let ingress = name_of(u8::try_from(number % 4).unwrap_or(0));
-        world.call(&ingress, number, "GET", "/prices/1", None);
+        send_request(&mut world, number);
     }
     world.run_for(SETTLE_TIME);
     set_limit(&mut world, "a", LimitNotice::Absent);
@@ -213,21 +217,12 @@
     };
     world.scripts.insert(node("a"), script);
     for number in 1..=60 {
-        let ingress = name_of(u8::try_from(number % 4).unwrap_or(0));
-        world.call(&ingress, number, "GET", "/prices/1", None);
+        send_request(&mut world, number);
     }
     world.run_for(REQUEST_INTERVAL);
     let load = world.engines()[&node("a")].load_of(0);
     assert!(load.queued > 0, "work waits");
-    let announced = UpstreamAnnouncement {
-        slot: 0,
-        service: ServiceName::new("orders"),
-        slots: 5,
-        phase: UpstreamPhase::Leaving,
-        life: None,
-        warm_up: None,
-    };
-    world.send_event("a", NodeEvent::UpstreamAnnounced(announced));
+    world.announce(node("a"), UpstreamPhase::Leaving);
     world.run_for(SETTLE_TIME * 2);
     let load = world.engines()[&node("a")].load_of(0);
     assert_eq!((load.in_use, load.queued), (0, 0));
--- a/crates/engine/tests/session/world/actions.rs
+++ b/crates/engine/tests/session/world/actions.rs
@@ -27,6 +27,19 @@
         self.send_event(name, NodeEvent::UpstreamAnnounced(announced));
     }
 
+    /// Announces a second backend server beside a node, in slot 1, that runs another service.
+    pub fn announce_second(&mut self, name: &str, service: &ServiceName) {
+        let announced = UpstreamAnnouncement {
+            slot: 1,
+            service: service.clone(),
+            slots: 5,
+            phase: UpstreamPhase::Ready,
+            life: None,
+            warm_up: None,
+        };
+        self.send_event(name, NodeEvent::UpstreamAnnounced(announced));
+    }
+
     /// Makes the log reachable or unreachable for all nodes.
     pub fn set_log_reachable(&mut self, reachable: bool) {
         self.log_reachable = reachable;
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::support::fixture::{CALLER_TOKEN, FleetFixture, booking, fresh_key, price_check};
-use crate::support::http::{TestRequest, send_raw};
+use crate::support::http::{TestRequest, send_and_half_close, send_raw};
 
 /// Sends raw bytes to the callers' port. Returns the response status, or 0 when the daemon closes
 /// the connection without a response.
@@ -61,12 +61,8 @@
         "POST /bookings HTTP/1.1\r\nhost: test\r\nauthorization: Bearer {CALLER_TOKEN}\r\n\
          idempotency-key: {key}\r\ncontent-length: 10\r\n\r\nfour"
     );
-    let mut stream = TcpStream::connect(fleet.instances[0].caller_address()).expect("connects");
-    stream.write_all(head.as_bytes()).expect("sends");
-    stream.shutdown(std::net::Shutdown::Write).expect("closes");
-    let mut answer = Vec::new();
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
-    let _ = stream.read_to_end(&mut answer);
+    let address = fleet.instances[0].caller_address();
+    let answer = send_and_half_close(&address, head.as_bytes(), Duration::ZERO).expect("sends");
     assert!(
         !answer.starts_with(b"HTTP/1.1 200"),
         "{}",
--- a/tests/testsuite/fleet/half_closed_callers.rs
+++ b/tests/testsuite/fleet/half_closed_callers.rs
@@ -1,45 +1,31 @@
 //! Callers that close only their sending direction and read on.
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::Duration;
 
 use serde_json::json;
 
 use crate::support::fixture::{CALLER_TOKEN, FleetFixture, fresh_key};
+use crate::support::http::{TestReply, parse_reply, send_and_half_close};
 
 /// Time after an answer in which a run that was ordered before it has started.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 
 /// Sends a request, closes the sending direction after a while, and returns the answer.
-fn send_and_half_close(fleet: &FleetFixture, head: &str, after: Duration) -> String {
+fn call_and_half_close(fleet: &FleetFixture, head: &str, after: Duration) -> TestReply {
     let request = format!(
         "{head}\r\nhost: test\r\nauthorization: Bearer {CALLER_TOKEN}\r\ncontent-length: 5\r\n\
          \r\nhello"
     );
     let address = fleet.instances[0].caller_address();
-    let mut stream = TcpStream::connect(address).expect("connects");
-    stream.write_all(request.as_bytes()).expect("sends");
-    thread::sleep(after);
-    stream.shutdown(Shutdown::Write).expect("closes");
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
-    let mut answer = Vec::new();
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
-}
-
-fn header_of<'a>(answer: &'a str, name: &str) -> &'a str {
-    let mut lines = answer.lines().filter_map(|line| line.split_once(": "));
-    lines
-        .find(|(known, _)| *known == name)
-        .map_or("", |(_, value)| value)
+    let answer = send_and_half_close(&address, request.as_bytes(), after).expect("sends");
+    parse_reply(&answer).expect("a whole answer")
 }
 
 /// Counts the runs of a request, by its id in the answer.
-fn count_request_runs(fleet: &FleetFixture, answer: &str) -> u64 {
-    let id = header_of(answer, "x-request-id");
-    assert!(!id.is_empty(), "{answer}");
+fn count_request_runs(fleet: &FleetFixture, reply: &TestReply) -> u64 {
+    let id = reply.header("x-request-id");
+    assert!(!id.is_empty(), "{reply:?}");
     let counts = fleet.instances.iter().map(|instance| {
         let counters = instance.run_counters();
         counters["by_request"][id]["started"].as_u64().unwrap_or(0)
@@ -60,18 +46,18 @@
         let after = Duration::from_millis(millis);
         let key = fresh_key();
         let head = format!("POST /bookings HTTP/1.1\r\nidempotency-key: {key}");
-        let booked = send_and_half_close(&fleet, &head, after);
-        let looked_up = send_and_half_close(&fleet, "GET /prices/bulk HTTP/1.1", after);
+        let booked = call_and_half_close(&fleet, &head, after);
+        let looked_up = call_and_half_close(&fleet, "GET /prices/bulk HTTP/1.1", after);
         thread::sleep(SETTLE_TIME);
-        let answers = [
+        let replies = [
             (&booked, fleet.count_runs(&key)),
             (&looked_up, count_request_runs(&fleet, &looked_up)),
         ];
-        for (answer, runs) in answers {
-            let denied = header_of(answer, "sycamorelink-run") == "not-run";
+        for (reply, runs) in replies {
+            let denied = reply.run_state() == "not-run";
             assert!(
                 !denied || runs == 0,
-                "after {after:?}: ran {runs} times: {answer}"
+                "after {after:?}: ran {runs} times: {reply:?}"
             );
         }
     }
--- a/tests/testsuite/fleet/request_bodies.rs
+++ b/tests/testsuite/fleet/request_bodies.rs
@@ -1,8 +1,6 @@
 //! Request bodies on the way to backend servers. A backend server gets the whole body of a request
 //! or no request.
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::Duration;
 
@@ -10,7 +8,7 @@
 use sycamorelink_core::stable_hash;
 
 use crate::support::fixture::{CALLER_TOKEN, FleetFixture};
-use crate::support::http::{TestReply, send_raw};
+use crate::support::http::{TestReply, send_and_half_close, send_raw};
 
 /// Largest body that a daemon keeps for another attempt, in bytes.
 const REPLAY_LIMIT: usize = 64 << 10;
@@ -142,12 +140,7 @@
         push_chunks(&mut request, &sample_body(length));
         request.extend_from_slice(end.as_bytes());
         let address = fleet.instances[0].caller_address();
-        let mut stream = TcpStream::connect(address).expect("connects");
-        stream.write_all(&request).expect("sends");
-        stream.shutdown(Shutdown::Write).expect("closes");
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
-        let mut answer = Vec::new();
-        let _ = stream.read_to_end(&mut answer);
+        let answer = send_and_half_close(&address, &request, Duration::ZERO).expect("sends");
         let answer = String::from_utf8_lossy(&answer);
         assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
--- a/tests/testsuite/support/http.rs
+++ b/tests/testsuite/support/http.rs
@@ -3,7 +3,8 @@
 
 use std::fmt::Write as _;
 use std::io::{self, Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
+use std::thread;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -119,7 +120,22 @@
     parse_reply(&reply)
 }
 
-fn parse_reply(bytes: &[u8]) -> io::Result<TestReply> {
+/// Sends bytes unmodified, closes the sending direction after a while, and reads on. Returns all that
+/// arrives until the connection closes.
+pub fn send_and_half_close(address: &str, bytes: &[u8], after: Duration) -> io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(READ_LIMIT))?;
+    stream.write_all(bytes)?;
+    thread::sleep(after);
+    stream.shutdown(Shutdown::Write)?;
+    let mut answer = Vec::new();
+    // A reset or a timeout leaves what arrived before.
+    let _ = stream.read_to_end(&mut answer);
+    Ok(answer)
+}
+
+/// Parses a complete reply.
+pub fn parse_reply(bytes: &[u8]) -> io::Result<TestReply> {
     let broken = || io::Error::new(io::ErrorKind::UnexpectedEof, "incomplete reply");
     let split = bytes
         .windows(4)
