Add a case: payouts are cut off by the stop of the machine that took them

A daemon takes requests until 4 s after SIGTERM and ends at 5.5 s, also where the route gives them more time. Payouts that were taken later than 3 s after the SIGTERM are lost while an upstream is at work on them (LOST). One planned disruption, nothing else.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -3,6 +3,7 @@
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod crash;
+mod lost;
 mod rig;
 
 fn main() {
@@ -10,7 +11,8 @@
     let case = std::env::args().nth(1).unwrap_or_default();
     let ran = std::panic::catch_unwind(|| match case.as_str() {
         "crash" => crash::run(),
-        _ => eprintln!("rig crash RECORD"),
+        "lost" => lost::run(),
+        _ => eprintln!("rig crash|lost RECORD"),
     });
     drop(ran);
     std::process::exit(2)
