Add a case: an acknowledged leaving is forgotten when all daemons are killed

The leaving of an upstream is kept in the memory of other daemons only. When all of them are killed at once, a heartbeat from before the leaving that arrives late makes the upstream ready again, and requests reach it later than drain after the acknowledgement (DRAIN).

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -3,6 +3,7 @@
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod crash;
+mod leaving;
 mod lost;
 mod rig;
 
@@ -12,7 +13,8 @@
     let ran = std::panic::catch_unwind(|| match case.as_str() {
         "crash" => crash::run(),
         "lost" => lost::run(),
-        _ => eprintln!("rig crash|lost RECORD"),
+        "leaving" => leaving::run(),
+        _ => eprintln!("rig crash|lost|leaving RECORD"),
     });
     drop(ran);
     std::process::exit(2)
