Take a request at a leaving node only if it can end before the node does

Callers saw requests that a daemon took 3 to 4 s after SIGTERM end with a closed connection while a backend server was at work on them (LOST).

Change: `drain.grace` takes the platform's grace period, and the drain ends 200 ms before it. A leaving node takes a request, or work of another node, if its deadline is before that; while callers may not have moved yet, the usual latency of the service is enough. All others are refused at once as not run. Open requests are answered before the connections close. The drain moves from `node` and `ingress` to a module of its own.

--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -6,7 +6,7 @@
 use sycamorelink_core::FindingList;
 
 use super::collect::{CollectedDocument, collect_document};
-use super::model::{DaemonSettings, FleetKey, OperatorAccount, OperatorRole};
+use super::model::{DaemonSettings, FleetKey, OperatorAccount, OperatorRole, STOP_TIME};
 use super::sections::check_sections;
 
 /// Minimum length of a fleet key's secret, in bytes.
@@ -138,6 +138,11 @@
             "drain.limit",
             "must be above 0s, or requests in flight are cut off",
         );
+        findings.expect(
+            self.drain.grace.is_none_or(|grace| grace > STOP_TIME),
+            "drain.grace",
+            "must be above 200ms, or requests in flight are cut off",
+        );
     }
 
     fn add_key_findings(&self, findings: &mut FindingList) {
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use serde_with::serde_as;
 use sycamorelink_core::{DomainName, ServiceName};
-use sycamorelink_engine::LEAVE_SERVING;
+use sycamorelink_engine::{LEAVE_LIMIT, LEAVE_SERVING};
 use sycamorelink_telemetry::{LogFormat, LogTarget};
 
 use super::units::{UnitBytes, UnitDuration};
@@ -25,8 +25,8 @@
 const DEFAULT_HEADER_LIMIT: usize = 16 << 10;
 /// Default number of reply bytes buffered before the reply's head is sent to the caller.
 const DEFAULT_REPLY_BUFFER: usize = 64 << 10;
-/// Default time that a drain waits for requests in flight.
-const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// Time before the platform kills the process in which the daemon writes its last answers and stops.
+pub(super) const STOP_TIME: Duration = Duration::from_millis(200);
 
 /// Settings of one daemon, read at its start.
 #[serde_as]
@@ -222,15 +222,31 @@
     /// Maximum time for requests in flight before the daemon stops and cuts them off.
     #[serde_as(as = "UnitDuration")]
     pub limit: Duration,
-    /// Time after the start of the drain for which the daemon still accepts callers' requests.
+    /// Time between the platform's order to stop and the kill of the process. When set, the drain
+    /// ends shortly before the kill instead of at `limit`.
+    #[serde_as(as = "Option<UnitDuration>")]
+    pub grace: Option<Duration>,
+    /// Time after the start of the drain for which callers may not have moved to another daemon yet.
+    /// The daemon accepts their requests if they are likely to end before the drain does; later it
+    /// accepts only those whose deadline is before that.
     #[serde_as(as = "UnitDuration")]
     pub serving: Duration,
 }
 
+impl DrainSettings {
+    /// Returns the time after the start of the drain at which the daemon stops.
+    #[must_use]
+    pub fn time_limit(&self) -> Duration {
+        self.grace
+            .map_or(self.limit, |grace| grace.saturating_sub(STOP_TIME))
+    }
+}
+
 impl Default for DrainSettings {
     fn default() -> Self {
         Self {
-            limit: DEFAULT_DRAIN_LIMIT,
+            limit: LEAVE_LIMIT,
+            grace: None,
             serving: LEAVE_SERVING,
         }
     }
--- a/crates/daemon/src/startup.rs
+++ b/crates/daemon/src/startup.rs
@@ -95,6 +95,7 @@
     let mut engine = EngineSettings {
         first_start: settings.first_start,
         leave_serving: settings.drain.serving,
+        leave_limit: settings.drain.time_limit(),
         roster: section("roster", &settings.roster)?,
         guard: section("guard", &settings.guard)?,
         policy: section("policy", &settings.policy)?,
--- a/crates/engine/src/caller_queue.rs
+++ b/crates/engine/src/caller_queue.rs
@@ -25,8 +25,8 @@
 use sycamorelink_policy::{CapacityForecast, DeclineMonitor, PolicyMechanism, SampleKind};
 
 use crate::command::NodeCommand;
+use crate::drain::NODE_RETRY_DELAY;
 use crate::event::AttemptReport;
-use crate::ingress::NODE_RETRY_DELAY;
 use crate::node::{NodeEngine, TICK_INTERVAL};
 use crate::note::{NodeNote, WaitEnd};
 use crate::request::{RequestPhase, RequestState};
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -13,6 +13,7 @@
 
 use crate::caller_queue::is_declined;
 use crate::command::NodeCommand;
+use crate::drain::NODE_RETRY_DELAY;
 use crate::event::AttemptReport;
 use crate::node::{NodeEngine, TimerPurpose};
 use crate::note::{NodeNote, RequestSummary, WaitEnd};
@@ -306,6 +307,13 @@
     }
 
     pub(crate) fn on_deadline(&mut self, now: Duration, id: RequestId, out: &mut Vec<NodeCommand>) {
+        let Some(code) = self
+            .requests
+            .get(&id)
+            .map(|state| self.deadline_code(state))
+        else {
+            return;
+        };
         let Some(state) = self.requests.get_mut(&id) else {
             return;
         };
@@ -332,9 +340,9 @@
             self.settle_guard(now, id, DispatchOutcome::Lost, out);
         }
         let refusal = RequestRefusal {
-            code: RefusalCode::DeadlineExceeded,
+            code,
             run,
-            retry_after: None,
+            retry_after: (code == RefusalCode::Draining).then_some(NODE_RETRY_DELAY),
         };
         self.refuse(now, id, refusal, out);
     }
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -283,7 +283,7 @@
         let delay = self
             .pools
             .get(&state.rule.service)
-            .and_then(ServicePool::hedge_delay);
+            .and_then(ServicePool::tail_latency);
         if let Some(at) = state.plan.hedge_at(now, delay) {
             self.timers.insert((at, TimerPurpose::Hedge, id));
         }
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -39,8 +39,9 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let work = offer.work;
+        let time_left = offer.time_left;
         let mut state = WorkState {
-            deadline: now + offer.time_left,
+            deadline: now + time_left,
             phase: WorkPhase::Queued,
             offered: now,
             started: now,
@@ -80,6 +81,11 @@
             self.refuse_work(work, refusal.retry_after(UPSTREAM_RETRY_DELAY), out);
             return;
         }
+        let deadline = now + time_left;
+        if let Some(refusal) = self.refusal_to_leave(now, deadline, &service) {
+            self.refuse_work(work, refusal, out);
+            return;
+        }
         if self.fence_mark(attempt) == Some(FenceMark::Refused) {
             let refusal = RequestRefusal::not_run(RefusalCode::Draining);
             self.refuse_work(work, refusal, out);
--- a/crates/engine/src/ingress.rs
+++ b/crates/engine/src/ingress.rs
@@ -21,14 +21,13 @@
 use crate::budgets::budget_entry;
 use crate::command::NodeCommand;
 use crate::dispatch::no_upstream;
+use crate::drain::NODE_RETRY_DELAY;
 use crate::event::CallerRequest;
 use crate::fleet::FLEET_INDEX;
-use crate::node::{HandoverState, NodeEngine, TimerPurpose};
+use crate::node::{NodeEngine, TimerPurpose};
 use crate::note::{NodeNote, RequestSummary};
 use crate::request::{RequestPhase, RequestState};
 
-/// Retry delay given to callers that a leaving or starting node refuses.
-pub(crate) const NODE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum time that a request waits for a share of its customer's limits.
 const MAX_SHARE_WAIT: Duration = Duration::from_secs(1);
 
@@ -47,10 +46,12 @@
         let customer = self.caller_account_name(&caller);
         match self.open_request(now, caller) {
             Ok(state) => {
-                // Only requests that the node serves keep a leaving node running. If refused ones
-                // counted, callers that keep retrying would keep it running until the platform
-                // kills it.
-                self.last_request = now;
+                // Only requests that a leaving node serves while callers move away keep it running.
+                // If refused or later ones counted, callers that keep asking would keep it running
+                // until the platform kills it.
+                if self.serves_until().is_none_or(|until| now < until) {
+                    self.last_request = now;
+                }
                 self.timers
                     .insert((state.deadline, TimerPurpose::Deadline, id));
                 self.requests.insert(id, state);
@@ -87,11 +88,6 @@
         now: Duration,
         caller: CallerRequest,
     ) -> Result<RequestState, RequestRefusal> {
-        if self.refuses_new_requests(now) {
-            return Err(
-                RequestRefusal::not_run(RefusalCode::Draining).retry_after(NODE_RETRY_DELAY)
-            );
-        }
         if !self.has_contracts() {
             return Err(
                 RequestRefusal::not_run(RefusalCode::NotReady).retry_after(NODE_RETRY_DELAY)
@@ -105,6 +101,13 @@
         {
             return Err(RequestRefusal::not_run(RefusalCode::BodyTooLarge));
         }
+        let time = caller
+            .time_left
+            .map_or(rule.deadline, |left| left.min(rule.deadline));
+        if let Some(refusal) = self.refusal_to_leave(now, now + time, &rule.service) {
+            return Err(refusal);
+        }
+        let deadline = self.limit_to_stop(now + time);
         let key =
             idempotency_key_of(&rule, caller.key.as_deref()).map_err(RequestRefusal::not_run)?;
         if let Some(account) = &account {
@@ -113,9 +116,6 @@
                 self.count_refusal(now, &rule.service, refusal.code, Some(account.name()));
             })?;
         }
-        let time = caller
-            .time_left
-            .map_or(rule.deadline, |left| left.min(rule.deadline));
         let idempotent = rule.repeat == RepeatClass::Idempotent;
         let called_by = self.calling_run(now, &caller, &rule.service);
         let first_arrival =
@@ -132,9 +132,9 @@
             customer: CustomerIndex(customer.0),
             account,
             arrived: now,
-            deadline: now + time,
+            deadline,
             phase: RequestPhase::AwaitingShare,
-            plan: retry_plan_for(idempotent, now + time, self.uses_fleet_contract()),
+            plan: retry_plan_for(idempotent, deadline, self.uses_fleet_contract()),
             open: Vec::new(),
             attempts: 0,
             key,
@@ -163,18 +163,6 @@
         })
     }
 
-    /// Returns whether this node is leaving and no longer accepts requests.
-    ///
-    /// A node that reported itself drained is stopped at any moment, which would cut the connection
-    /// of a new request while an upstream runs it. The node refuses from then on, and also once it
-    /// has served for [`EngineSettings::leave_serving`](crate::EngineSettings::leave_serving) while
-    /// leaving.
-    fn refuses_new_requests(&self, now: Duration) -> bool {
-        let since = self.draining;
-        self.handover == HandoverState::Drained
-            || since.is_some_and(|since| now >= since + self.settings.leave_serving)
-    }
-
     fn route_of(&mut self, caller: &CallerRequest) -> Result<RequestTerms, RefusalCode> {
         if self.uses_fleet_contract() {
             let (rule, account) = self.resolve_fleet_route(caller)?;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -1,4 +1,4 @@
-//! The engine of one node: its state, event dispatch, timers and draining.
+//! The engine of one node: its state, event dispatch and timers.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -36,13 +36,6 @@
 /// Interval of the periodic work.
 pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time within which gossip carries the departure of a node to every peer.
-pub(crate) const LEAVE_PROPAGATION_TIME: Duration = Duration::from_secs(2);
-/// Time without caller requests after which a leaving node may stop.
-pub(crate) const LEAVE_QUIET_TIME: Duration = Duration::from_millis(500);
-/// Number of periodic runs, at ten per second, in which a leaving node tries to hand over its guard
-/// seats. Counting runs excludes time in which the process was paused.
-pub(crate) const HANDOVER_TICKS: u32 = 100;
 /// Time for which a leaving backend server accepts work from peers that still list it as ready.
 pub(crate) const CLOSE_GRACE: Duration = Duration::from_secs(1);
 
@@ -162,7 +155,7 @@
     /// call made by the backend server beside this node.
     pub(crate) last_failed_call: Option<Duration>,
     pub(crate) handover: HandoverState,
-    leaving_ticks: u32,
+    pub(crate) leaving_ticks: u32,
     /// Whether peers were notified that this node ended.
     departed: bool,
     /// When the waiting requests of this leaving node were recalled; `None` before.
@@ -465,46 +458,4 @@
             }
         }
     }
-
-    /// Starts to leave: notifies peers and hands over the guard seats. `Drained` follows once
-    /// everything in flight has finished.
-    fn on_drain(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
-        if self.draining.is_some() {
-            return;
-        }
-        self.draining = Some(now);
-        self.refuse_queues_to_leave(now, out);
-        self.handle_roster_event(now, RosterEvent::Leave, out);
-        self.handle_guard_event(now, sycamorelink_guard::GuardEvent::DrainRequested, out);
-    }
-
-    /// Reports `Drained` once a leaving node can stop safely.
-    ///
-    /// An idle node still waits for [`LEAVE_PROPAGATION_TIME`], since peers that do not know of its
-    /// departure yet would send work that fails, and for [`LEAVE_QUIET_TIME`] without requests from
-    /// callers.
-    ///
-    /// No other node can take over the guard seats of a node that is alone or cut off, and without
-    /// a bound the node would wait until the platform kills it. A node that is alone does not wait
-    /// for a handover; any other stops trying after [`HANDOVER_TICKS`], and the remaining nodes
-    /// remove its seats like those of a dead node.
-    fn check_drained(&mut self, now: Duration, out: &mut Vec<NodeCommand>) {
-        let Some(since) = self.draining else {
-            return;
-        };
-        if self.handover == HandoverState::Drained {
-            return;
-        }
-        let peers_informed =
-            now >= since + LEAVE_PROPAGATION_TIME && now >= self.last_request + LEAVE_QUIET_TIME;
-        let idle = self.requests.is_empty() && self.works.is_empty();
-        let seats_settled = self.uses_fleet_contract()
-            || self.handover == HandoverState::SeatsHandedOver
-            || self.roster.member_count() < 2
-            || self.leaving_ticks >= HANDOVER_TICKS;
-        if peers_informed && idle && seats_settled {
-            self.handover = HandoverState::Drained;
-            out.push(NodeCommand::Drained);
-        }
-    }
 }
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -119,6 +119,12 @@
         &self.rule.terms
     }
 
+    /// Moves the deadline forward to `deadline`.
+    pub fn limit_deadline(&mut self, deadline: Duration) {
+        self.deadline = deadline;
+        self.plan.limit_deadline(deadline);
+    }
+
     /// Returns whether any attempt may have run or may still run.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- a/crates/engine/src/settings.rs
+++ b/crates/engine/src/settings.rs
@@ -17,6 +17,8 @@
 /// Default time for which a leaving node accepts callers' requests. Callers that check its
 /// readiness every second have switched to another node by then.
 pub const LEAVE_SERVING: Duration = Duration::from_secs(5);
+/// Default time after which a leaving node stops and cuts off what is in flight.
+pub const LEAVE_LIMIT: Duration = Duration::from_secs(30);
 
 /// Settings of the engine. Every value has a default.
 #[serde_as]
@@ -27,10 +29,15 @@
     pub contracts: ContractMode,
     /// Whether the whole fleet starts for the first time, so that there are no callers yet.
     pub first_start: bool,
-    /// Time for which a leaving node still accepts callers' requests; after that they are refused.
+    /// Time for which a leaving node accepts the requests that are likely to end before it stops.
+    /// Later it accepts only those whose deadline is before that.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "leave_serving_ms")]
     pub leave_serving: Duration,
+    /// Time after which a leaving node stops and cuts off what is in flight.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "leave_limit_ms")]
+    pub leave_limit: Duration,
     /// Membership protocol and failure detection between nodes.
     pub roster: RosterSettings,
     /// At-most-once guard.
@@ -67,6 +74,7 @@
             contracts: ContractMode::default(),
             first_start: false,
             leave_serving: LEAVE_SERVING,
+            leave_limit: LEAVE_LIMIT,
             roster: RosterSettings::default(),
             guard: GuardSettings::default(),
             share: ShareSettings::default(),
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -6,6 +6,7 @@
 mod caller_queue;
 mod capacity;
 mod contract_spread;
+mod draining;
 mod fair_queueing;
 mod faults;
 mod fleet_contract;
--- a/crates/ops/src/serve.rs
+++ b/crates/ops/src/serve.rs
@@ -57,7 +57,7 @@
         .map_err(ToolFailure::Findings)
         .with_context(|| format!("the settings in {} are not valid", file.display()))?;
     let log = log_settings(&settings).install()?;
-    let limit = settings.drain.limit;
+    let limit = settings.drain.time_limit();
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -221,10 +221,10 @@
         self.update_weight(now, index);
     }
 
-    /// Returns how long to wait for a reply before an idempotent request is hedged: the 95th
-    /// percentile of the latency. `None` while too few replies were observed.
+    /// Returns the 95th percentile of the latency, after which an idempotent request is hedged.
+    /// `None` while too few replies were observed.
     #[must_use]
-    pub fn hedge_delay(&self) -> Option<Duration> {
+    pub fn tail_latency(&self) -> Option<Duration> {
         let latency = &self.baseline.latency;
         latency.ready().then(|| latency.latency_at(HEDGE_DEVIATION))
     }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Moves the deadline forward to `deadline` if it is later than that.
+    pub fn limit_deadline(&mut self, deadline: Duration) {
+        self.deadline = self.deadline.min(deadline);
+    }
+
     /// Allows [`MAX_ATTEMPTS`] attempts. For requests whose refusals cost the backend servers
     /// nothing.
     #[must_use]
