Record leaving servers in the platform's store

Cause: only three other daemons kept the leaving, in memory. After the loss of all of them they answered the restarted daemon with empty lists.

Change: a daemon writes its leaving servers to the topic of the member directory, which each daemon reads before it starts anyway. A leaving is acknowledged once it is written, or after half a second while the store is out of reach. A daemon that can't read the record accepts a server at its second announcement.

--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -26,7 +26,10 @@
     RequestSpec, build_request_head, read_leaving, read_limit,
 };
 pub use caller::{CallerAdapter, NativeCallerAdapter};
-pub use source::{AdapterFuture, ContractSource, MemberDirectory, MemberEntry, SourceUpdate};
+pub use source::{
+    AdapterFuture, ContractSource, DirectoryListing, LeavingEntry, MemberDirectory, MemberEntry,
+    SourceUpdate,
+};
 
 /// The adapters of one daemon.
 pub struct DaemonAdapters {
--- a/crates/daemon/src/adapters/source.rs
+++ b/crates/daemon/src/adapters/source.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sycamorelink_contract::FleetContract;
+use sycamorelink_engine::{LEAVING_RECORD_LIFETIME, LeavingServer};
 use sycamorelink_log::LogError;
 
 /// Future that an adapter's asynchronous method returns.
@@ -43,6 +45,40 @@
     pub incarnation: u64,
 }
 
+/// Backend servers of a node that were leaving when it wrote the entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingEntry {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Wall-clock time of the entry since the Unix epoch.
+    pub recorded: Duration,
+    /// The leaving servers.
+    pub servers: Vec<LeavingServer>,
+}
+
+/// Content of a member directory.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DirectoryListing {
+    /// Entries of all nodes, including those that have stopped.
+    pub members: Vec<MemberEntry>,
+    /// Leaving backend servers of all nodes that recorded any.
+    pub leaving: Vec<LeavingEntry>,
+}
+
+impl DirectoryListing {
+    /// Returns the servers that a node recorded as leaving, unless its entry is older than the
+    /// servers can be.
+    #[must_use]
+    pub fn leaving_servers(&self, name: &str, wall: Duration) -> Vec<LeavingServer> {
+        let entry = self.leaving.iter().find(|entry| &*entry.name == name);
+        let is_valid = |entry: &&LeavingEntry| wall < entry.recorded + LEAVING_RECORD_LIFETIME;
+        entry
+            .filter(is_valid)
+            .map(|entry| entry.servers.clone())
+            .unwrap_or_default()
+    }
+}
+
 /// Directory in which nodes publish their addresses for each other.
 pub trait MemberDirectory: Send + Sync {
     /// Writes this node's entry, replacing an earlier one of the same name.
@@ -53,8 +89,11 @@
         Box::pin(std::future::pending())
     }
 
-    /// Returns all entries, including those of nodes that have stopped.
-    fn list(&self) -> AdapterFuture<'_, Vec<MemberEntry>>;
+    /// Returns the content of the directory.
+    fn list(&self) -> AdapterFuture<'_, DirectoryListing>;
+
+    /// Writes the leaving backend servers of this node, replacing its earlier entry of them.
+    fn record_leaving<'a>(&'a self, entry: &'a LeavingEntry) -> AdapterFuture<'a, ()>;
 
     /// Removes the entry of a node that leaves permanently.
     fn withdraw<'a>(&'a self, name: &'a str) -> AdapterFuture<'a, ()>;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,12 +13,13 @@
 use sycamorelink_wire::{FleetKeys, PeerIdentity, WireSettings};
 use tokio::sync::watch;
 
-use crate::adapters::{ContractSource, DaemonAdapters, MemberEntry};
+use crate::adapters::{ContractSource, DaemonAdapters, DirectoryListing, MemberEntry};
 use crate::callers::{CallerContext, CallerSockets, serve_callers};
 use crate::decision_loop::{DecisionLoop, DecisionOutputs};
 use crate::gossip::start_gossip;
 use crate::http_server::{HttpPorts, PortServer};
 use crate::inbox::{DecisionInput, INBOX_DEPTH};
+use crate::leaving_record::LeavingRecord;
 use crate::log_thread::{LogParts, start_log};
 use crate::members::MemberParts;
 use crate::memory::MemoryAccount;
@@ -30,7 +31,9 @@
 use crate::settings::DaemonSettings;
 use crate::sockets::{DaemonAddresses, DaemonSockets};
 use crate::source_thread::{SourceParts, start_source};
-use crate::startup::{engine_settings, fleet_keys, least_incarnation, member_facts, read_entries};
+use crate::startup::{
+    engine_settings, fleet_keys, least_incarnation, member_facts, read_directory,
+};
 use crate::work::{BackendDirectory, LoadBoard, WorkParts, WorkThread};
 
 /// Largest request body that is buffered so that it can be resent, in bytes.
@@ -78,8 +81,9 @@
         let sockets = DaemonSockets::bind(&settings)?;
         let addresses = sockets.addresses()?;
         let clock: Arc<dyn NodeClock> = Arc::new(SystemClock::start());
-        let entries = read_entries(&settings, adapters.members.as_deref())?;
-        let least = least_incarnation(&settings, &entries);
+        let listing = read_directory(&settings, adapters.members.as_deref())?;
+        let entries = listing.as_ref().map_or(&[][..], |listing| &listing.members);
+        let least = least_incarnation(&settings, entries);
         let facts = member_facts(&settings, &addresses, clock.as_ref(), least);
         let keys = fleet_keys(&settings);
         let mut engine_settings = engine_settings(&settings)?;
@@ -99,7 +103,7 @@
         let work = start_work(&shared, sockets.peers, keys.clone())?;
         let (log_commands, log_thread) = match contracts {
             Some(contracts) => {
-                start_source(shared.source_parts(contracts, &facts, entries, settings.first_start))?
+                start_source(shared.source_parts(contracts, &facts, listing, settings.first_start))?
             }
             None => start_log(shared.log_parts())?,
         };
@@ -124,6 +128,7 @@
             ready: Arc::clone(&shared.ready),
             telemetry: shared.telemetry.clone(),
             memory: shared.memory.clone(),
+            leaving_record: shared.leaving_record.clone(),
         };
         let seeds = settings.seeds.clone();
         let wall = shared.clock.wall().saturating_sub(shared.clock.now());
@@ -134,6 +139,11 @@
             facts.instance.incarnation.0,
         )
         .seeds(seeds);
+        if shared.adapters.members.is_none() {
+            let nothing_recorded = NodeEvent::LeavingServersRead(Vec::new());
+            let inbox = &shared.inbox;
+            inbox.send_blocking(DecisionInput::Event(nothing_recorded));
+        }
         let decision_loop = DecisionLoop::new(engine, Arc::clone(&shared.clock), receiver, outputs);
         let decision = thread::Builder::new()
             .name("decision".to_owned())
@@ -187,6 +197,7 @@
     drain: watch::Sender<bool>,
     telemetry: NodeTelemetry,
     memory: MemoryAccount,
+    leaving_record: LeavingRecord,
 }
 
 impl SharedParts {
@@ -218,6 +229,7 @@
             drain: watch::Sender::new(false),
             telemetry,
             memory: MemoryAccount::default(),
+            leaving_record: LeavingRecord::default(),
         }
     }
 
@@ -236,7 +248,7 @@
         &self,
         contracts: Box<dyn ContractSource>,
         facts: &MemberFacts,
-        entries: Vec<MemberEntry>,
+        listing: Option<DirectoryListing>,
         first_start: bool,
     ) -> SourceParts {
         let entry = MemberEntry {
@@ -247,7 +259,7 @@
         let members = self.adapters.members.clone().map(|directory| MemberParts {
             directory,
             entry,
-            entries,
+            listing,
             first_start,
             clock: Arc::clone(&self.clock),
             inbox: self.inbox.clone(),
@@ -261,6 +273,7 @@
             inbox: self.inbox.clone(),
             seed: self.instance.node.0,
             telemetry: self.telemetry.clone(),
+            leaving_record: self.leaving_record.clone(),
         }
     }
 
@@ -295,6 +308,7 @@
             directory: self.directory.clone(),
             ready: Arc::clone(&self.ready),
             drain_requested: Arc::clone(&self.drain_requested),
+            leaving_record: self.leaving_record.clone(),
             listen_ip: addresses.operators.ip(),
         }
     }
--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -27,6 +27,7 @@
 use crate::callers::CallerCommand;
 use crate::clock_watch::ClockWatch;
 use crate::inbox::DecisionInput;
+use crate::leaving_record::LeavingRecord;
 use crate::log_thread::LogCommand;
 use crate::memory::MemoryAccount;
 use crate::metrics::NodeTelemetry;
@@ -66,6 +67,8 @@
     pub telemetry: NodeTelemetry,
     /// Account of the bytes held for waiting requests and unread replies.
     pub memory: MemoryAccount,
+    /// Record of the local backend servers that leave.
+    pub leaving_record: LeavingRecord,
 }
 
 /// Event loop that runs the engine and executes its commands.
@@ -149,6 +152,10 @@
     fn handle_input(&mut self, input: DecisionInput) -> bool {
         match input {
             DecisionInput::Event(event) => self.handle_event(event),
+            DecisionInput::Confirmed(event, handled) => {
+                self.handle_event(event);
+                let _ = handled.send(());
+            }
             DecisionInput::Request(caller, commands) => {
                 self.callers.insert(caller.id, commands);
                 self.handle_event(NodeEvent::RequestArrived(caller));
@@ -284,6 +291,7 @@
                 let incarnation = incarnation.0;
                 self.send_log(LogCommand::RecordIncarnation { incarnation });
             }
+            NodeCommand::RecordLeaving(servers) => self.outputs.leaving_record.request(servers),
             NodeCommand::ContractsChanged => {
                 self.notes.refresh_objectives(self.engine.table());
                 self.outputs
--- a/crates/daemon/src/inbox.rs
+++ b/crates/daemon/src/inbox.rs
@@ -14,6 +14,8 @@
 pub enum DecisionInput {
     /// An event that expects no direct reply.
     Event(NodeEvent),
+    /// An event whose sender waits until it was handled.
+    Confirmed(NodeEvent, oneshot::Sender<()>),
     /// A caller's request, and the channel for commands to its exchange.
     Request(CallerRequest, mpsc::Sender<CallerCommand>),
     /// Offered work, and the channel for commands to its executor task.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod gossip;
 mod http_server;
 mod inbox;
+mod leaving_record;
 mod log_thread;
 pub mod members;
 pub mod memory;
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -17,7 +17,7 @@
 use sycamorelink_log::{BackoffSettings, LogError, OutageBackoff};
 use tokio::sync::{Notify, watch};
 
-use crate::adapters::{MemberDirectory, MemberEntry};
+use crate::adapters::{DirectoryListing, MemberDirectory, MemberEntry};
 use crate::inbox::DecisionInput;
 use crate::ring::RingSender;
 
@@ -97,8 +97,8 @@
     pub directory: Arc<dyn MemberDirectory>,
     /// This node's own entry.
     pub entry: MemberEntry,
-    /// Entries that were read before the start; empty when the task has yet to read them.
-    pub entries: Vec<MemberEntry>,
+    /// Content of the directory before the start; `None` when the task has yet to read it.
+    pub listing: Option<DirectoryListing>,
     /// Whether the whole fleet starts for the first time.
     pub first_start: bool,
     /// Source of the current time.
@@ -123,7 +123,7 @@
 pub struct MemberTask {
     directory: Arc<dyn MemberDirectory>,
     entry: MemberEntry,
-    entries: Vec<MemberEntry>,
+    listing: Option<DirectoryListing>,
     first_start: bool,
     clock: Arc<dyn NodeClock>,
     inbox: RingSender<DecisionInput>,
@@ -137,15 +137,15 @@
     /// Creates a task that has not started.
     #[must_use]
     pub fn new(parts: MemberParts) -> Self {
-        let own = parts
-            .entries
-            .iter()
+        let members = parts.listing.iter().flat_map(|listing| &listing.members);
+        let own = members
+            .clone()
             .find(|entry| entry.name == parts.entry.name && entry.gossip == parts.entry.gossip);
         Self {
             listed: own.is_some(),
             directory: parts.directory,
             entry: parts.entry,
-            entries: parts.entries,
+            listing: parts.listing,
             first_start: parts.first_start,
             clock: parts.clock,
             inbox: parts.inbox,
@@ -195,14 +195,19 @@
     }
 
     async fn start_discovery(&mut self) {
-        let mut entries = std::mem::take(&mut self.entries);
-        if entries.is_empty() {
+        let listing = if let Some(listing) = self.listing.take() {
+            listing
+        } else {
             if self.first_start {
                 let wait = self.policy.spread(START_SPREAD);
                 tokio::time::sleep(wait).await;
             }
-            entries = self.read_entries().await;
-        }
+            self.read_directory().await
+        };
+        let leaving = listing.leaving_servers(&self.entry.name, self.clock.wall());
+        self.send_event(NodeEvent::LeavingServersRead(leaving))
+            .await;
+        let entries = listing.members;
         let others = self.send_seeds(&entries).await;
         let found = NodeEvent::DirectoryRead { entries: others };
         self.send_event(found).await;
@@ -279,11 +284,15 @@
     }
 
     async fn read_entries(&mut self) -> Vec<MemberEntry> {
+        self.read_directory().await.members
+    }
+
+    async fn read_directory(&mut self) -> DirectoryListing {
         loop {
             match self.directory.list().await {
-                Ok(entries) => {
+                Ok(listing) => {
                     self.backoff.succeed();
-                    return entries;
+                    return listing;
                 }
                 Err(error) => {
                     self.pause(&error, "failed to read the member directory")
--- a/crates/daemon/src/operators/route.rs
+++ b/crates/daemon/src/operators/route.rs
@@ -189,12 +189,23 @@
     if let Some((slot, address)) = answer.address {
         context.directory.insert(slot, address);
     }
-    if let Some(event) = answer.event {
-        context.inbox.send(DecisionInput::Event(event)).await;
+    match answer.event {
+        Some(event) if is_leaving(&event) => context.send_leaving(event).await,
+        Some(event) => context.inbox.send(DecisionInput::Event(event)).await,
+        None => {}
     }
     Some(answer.reply)
 }
 
+/// Returns whether an announcement says that a backend server leaves.
+fn is_leaving(event: &NodeEvent) -> bool {
+    match event {
+        NodeEvent::UpstreamAnnounced(announced) => announced.phase == UpstreamPhase::Leaving,
+        NodeEvent::UpstreamWithdrawn { .. } => true,
+        _ => false,
+    }
+}
+
 async fn withdraw(
     context: &OperatorContext,
     call: &OperatorCall,
--- a/crates/daemon/src/operators/server.rs
+++ b/crates/daemon/src/operators/server.rs
@@ -9,6 +9,7 @@
 use http::{Response, StatusCode};
 use serde_json::Value;
 use sycamorelink_core::NodeClock;
+use sycamorelink_engine::NodeEvent;
 use sycamorelink_log::LogClient;
 use tokio::sync::oneshot;
 use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
@@ -21,6 +22,7 @@
 use crate::adapters::AnnouncementAdapter;
 use crate::http_server::PortServer;
 use crate::inbox::DecisionInput;
+use crate::leaving_record::LeavingRecord;
 use crate::ring::RingSender;
 use crate::work::BackendDirectory;
 
@@ -29,6 +31,9 @@
 /// Maximum wait for the decision thread's answer to a query.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum wait for the record of a leaving server. Its acknowledgement is expected within a second.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// State shared by all calls of the operators' port.
 pub struct OperatorContext {
     /// Ring of the decision thread, for events and queries.
@@ -47,6 +52,8 @@
     pub ready: Arc<AtomicBool>,
     /// Set when an operator requests a drain.
     pub drain_requested: Arc<AtomicBool>,
+    /// Record of the backend servers that leave.
+    pub leaving_record: LeavingRecord,
     /// Adapter for announcements in the platform's own protocol; `None` when backend servers use
     /// only the native one.
     pub announcement_adapter: Option<Arc<dyn AnnouncementAdapter>>,
@@ -55,6 +62,22 @@
 }
 
 impl OperatorContext {
+    /// Passes on that a backend server leaves, and waits until its leaving is recorded.
+    ///
+    /// The caller takes the reply for an acknowledgement, so it is sent after [`RECORD_TIMEOUT`] in
+    /// any case: the server stays leaving as long as this daemon runs.
+    pub async fn send_leaving(&self, event: NodeEvent) {
+        let (sender, handled) = oneshot::channel();
+        self.inbox
+            .send(DecisionInput::Confirmed(event, sender))
+            .await;
+        let recorded =
+            handled.await.is_ok() && self.leaving_record.wait_written(RECORD_TIMEOUT).await;
+        if !recorded {
+            tracing::warn!("acknowledged a leaving server that is not recorded yet");
+        }
+    }
+
     /// Sends a query to the decision thread and waits for the answer.
     ///
     /// # Errors
--- a/crates/daemon/src/source_thread.rs
+++ b/crates/daemon/src/source_thread.rs
@@ -21,6 +21,7 @@
 
 use crate::adapters::{ContractSource, SourceUpdate};
 use crate::inbox::DecisionInput;
+use crate::leaving_record::LeavingRecord;
 use crate::log_thread::{COMMAND_DEPTH, LogCommand};
 use crate::members::{DIRECTORY_BACKOFF, MemberParts, MemberSignals, MemberTask, pause_after};
 use crate::metrics::NodeTelemetry;
@@ -46,6 +47,8 @@
     pub seed: u64,
     /// Event log.
     pub telemetry: NodeTelemetry,
+    /// Record of the local backend servers that leave.
+    pub leaving_record: LeavingRecord,
 }
 
 /// Starts the thread. The thread ends when the returned sender of commands is dropped, and ignores
@@ -77,7 +80,16 @@
             return;
         }
     };
-    let mut task = parts.members.take().map(MemberTask::new);
+    let members = parts.members.take();
+    let record = parts.leaving_record.clone();
+    let directory = members
+        .as_ref()
+        .map(|members| Arc::clone(&members.directory));
+    let name = members
+        .as_ref()
+        .map_or_else(|| Arc::from(""), |members| Arc::clone(&members.entry.name));
+    let (clock, seed) = (Arc::clone(&parts.clock), parts.seed);
+    let mut task = members.map(MemberTask::new);
     let leave = Arc::clone(&parts.leave);
     LocalSet::new().block_on(&runtime, async move {
         let (follow, following) = watch::channel(false);
@@ -86,6 +98,7 @@
             () = follow_source(parts, following.clone()) => {}
             () = run_commands(&mut commands, &follow, &signals) => {}
             () = find_members(task.as_mut(), signals.clone(), following, &leave) => {}
+            () = record.run(directory, name, clock.as_ref(), seed) => {}
         }
         if let Some(task) = task {
             task.withdraw().await;
--- a/crates/daemon/src/startup.rs
+++ b/crates/daemon/src/startup.rs
@@ -10,7 +10,7 @@
 use sycamorelink_roster::MemberFacts;
 use sycamorelink_wire::{DATAGRAM_PAYLOAD, FleetKey, FleetKeys};
 
-use crate::adapters::{MemberDirectory, MemberEntry};
+use crate::adapters::{DirectoryListing, MemberDirectory, MemberEntry};
 use crate::settings::DaemonSettings;
 use crate::sockets::DaemonAddresses;
 
@@ -43,15 +43,15 @@
     }
 }
 
-/// Reads the entries that other nodes and earlier incarnations of this node wrote to the member
-/// directory. Returns none on a fleet's first start and when the directory cannot be read in time,
-/// in which case the daemon reads the directory after its start.
-pub fn read_entries(
+/// Reads what other nodes and earlier incarnations of this node wrote to the member directory.
+/// Returns `None` without a directory, on a fleet's first start, and when the directory cannot be
+/// read in time, in which case the daemon reads it after its start.
+pub fn read_directory(
     settings: &DaemonSettings,
     members: Option<&dyn MemberDirectory>,
-) -> anyhow::Result<Vec<MemberEntry>> {
+) -> anyhow::Result<Option<DirectoryListing>> {
     let Some(members) = members.filter(|_| !settings.first_start) else {
-        return Ok(Vec::new());
+        return Ok(None);
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -60,11 +60,11 @@
     let read = runtime
         .block_on(async { tokio::time::timeout(DIRECTORY_READ_TIMEOUT, members.list()).await });
     match read {
-        Ok(Ok(entries)) => return Ok(entries),
+        Ok(Ok(listing)) => return Ok(Some(listing)),
         Ok(Err(error)) => tracing::warn!(%error, "failed to read the member directory"),
         Err(_) => tracing::warn!("timed out reading the member directory"),
     }
-    Ok(Vec::new())
+    Ok(None)
 }
 
 /// Returns the least incarnation that this node may start with.
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -22,7 +22,7 @@
         announced: UpstreamAnnouncement,
         out: &mut Vec<NodeCommand>,
     ) {
-        let Some(announced) = self.resolve_leaving(announced) else {
+        let Some(announced) = self.resolve_leaving(now, announced) else {
             return;
         };
         let Some(announced) = self.admit_announcement(announced) else {
@@ -159,7 +159,7 @@
         self.drop_held_announcement(slot, life);
         let Some(known) = self.upstreams.get_mut(&slot) else {
             if let Some(life) = life {
-                self.remember_withdrawal(now, slot, life, out);
+                self.remember_withdrawal(slot, life, out);
             }
             return;
         };
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -14,6 +14,7 @@
 use sycamorelink_roster::RosterMessage;
 
 use crate::event::{ArrivalKind, WorkTerms};
+use crate::leaving::LeavingServer;
 use crate::message::PeerMessage;
 use crate::note::NodeNote;
 
@@ -128,6 +129,9 @@
     /// Store an incarnation for the next start of this node and exit. Peers remember a higher
     /// incarnation than the current one, and the next start must use a number above theirs.
     RecordIncarnation(NodeIncarnation),
+    /// Record the local backend servers that are leaving where the record outlives all nodes. It
+    /// replaces the former record of this node.
+    RecordLeaving(Vec<LeavingServer>),
     /// Publish the newly compiled contracts to the request path.
     ContractsChanged,
     /// Report that this node has handed over or finished everything.
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -14,6 +14,7 @@
 use sycamorelink_policy::{LoadHint, SampleKind, UpstreamPhase};
 use sycamorelink_roster::RosterMessage;
 
+use crate::leaving::LeavingServer;
 use crate::message::PeerMessage;
 
 /// External inputs of a node.
@@ -144,6 +145,9 @@
         /// Number of entries of other nodes.
         entries: usize,
     },
+    /// The record of leaving backend servers that an earlier incarnation of this node wrote was
+    /// read.
+    LeavingServersRead(Vec<LeavingServer>),
     /// The platform's log became reachable or unreachable.
     LogReachable(bool),
     /// The platform asked this node to leave.
--- a/crates/engine/src/leaving.rs
+++ b/crates/engine/src/leaving.rs
@@ -1,15 +1,20 @@
 //! Replication of leaving backend servers, so that a restarted daemon knows which ones leave.
 //!
 //! ```text
-//! daemon ── Leaves ──▶ three replicas
-//!   ✕ restarts
-//! restarted ── Ask ──▶ any two members ── Ask ──▶ replicas ── Leaving ──▶ restarted daemon
+//! daemon ──┬─ Leaves ──▶ three replicas
+//!   ✕      └─ RecordLeaving ──▶ platform's store
+//! restarted ─┬─ Ask ──▶ any two members ── Ask ──▶ replicas ── Leaving ──▶ restarted daemon
+//!            └───────────────── platform's store ── LeavingServersRead ──▶ restarted daemon
 //! ```
 //!
 //! The next incarnation of the daemon must also honour the acknowledgement that a backend server is
 //! leaving, but may first receive a delayed heartbeat from before the server began to leave. The
 //! restarted daemon therefore asks which of its local servers are leaving, and accepts no server as
 //! ready before the replies have arrived or a short timeout has passed.
+//!
+//! The replicas answer while the store is unreachable. The store has the record when all nodes were
+//! lost at once, and the replicas know nothing. A daemon that cannot read the store accepts a server
+//! only after its second announcement.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -34,7 +39,7 @@
 /// and many times the round trip to a replica.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a record is stored for the next incarnation. A leaving server is gone by then.
-const RECORD_LIFETIME: Duration = Duration::from_mins(1);
+pub const LEAVING_RECORD_LIFETIME: Duration = Duration::from_mins(1);
 /// Maximum number of records stored per node.
 const MAX_RECORDS_PER_NODE: usize = 8;
 
@@ -67,8 +72,8 @@
     pub life: LifeId,
 }
 
-/// Leaving servers stored for other nodes, those of this node's previous incarnation, and, under this
-/// node, its servers that withdrew before they announced themselves to it.
+/// Leaving servers stored for other nodes and, under this node, its own; and those that replicas
+/// stored for this node's previous incarnation.
 #[derive(Debug, Default)]
 pub(crate) struct LeavingRecords {
     stored: BTreeMap<NodeId, Vec<LeavingRecord>>,
@@ -86,6 +91,8 @@
 #[derive(Debug, Default)]
 struct LeavingLookup {
     is_done: bool,
+    /// Whether the record in the platform's store was read.
+    is_read: bool,
     queries: usize,
     replied: BTreeSet<NodeId>,
     /// The newest announcement of each server that is held until the replies arrive.
@@ -110,7 +117,7 @@
         stored.retain(|other| other.leaving != leaving && now < other.until);
         stored.push(LeavingRecord {
             leaving,
-            until: now + RECORD_LIFETIME,
+            until: now + LEAVING_RECORD_LIFETIME,
         });
         if stored.len() > MAX_RECORDS_PER_NODE {
             stored.remove(0);
@@ -131,37 +138,48 @@
     }
 
     /// Returns whether the announced server was leaving in the previous incarnation of this node, or
-    /// withdrew before its first announcement to this one.
+    /// is known to leave by this one.
     fn was_leaving(&self, own: NodeId, announced: &UpstreamAnnouncement) -> bool {
         let life = announced.life.as_ref();
         life.is_some_and(|life| {
-            let withdrawn = self.stored.get(&own).into_iter().flatten();
-            let withdrawn = withdrawn.map(|record| &record.leaving);
-            let mut leaving = self.previous.iter().chain(withdrawn);
+            let stored = self.stored.get(&own).into_iter().flatten();
+            let stored = stored.map(|record| &record.leaving);
+            let mut leaving = self.previous.iter().chain(stored);
             leaving.any(|leaving| leaving.slot == announced.slot && leaving.life.matches(&life.id))
         })
     }
 
     fn hold_announcement(&mut self, announced: UpstreamAnnouncement) {
-        let order =
-            |announced: &UpstreamAnnouncement| announced.life.as_ref().map(|life| life.order);
         let held = self.lookup.held.get(&announced.slot);
         let same = held.filter(|held| life_of(held) == life_of(&announced));
-        if same.is_none_or(|held| order(held) < order(&announced)) {
+        if same.is_none_or(|held| order_of(held) < order_of(&announced)) {
             self.lookup.held.insert(announced.slot, announced);
         }
     }
+
+    /// Returns whether an announcement is later than one of the same incarnation that is held.
+    fn is_repeated(&self, announced: &UpstreamAnnouncement) -> bool {
+        let held = self.lookup.held.get(&announced.slot);
+        held.is_some_and(|held| {
+            life_of(held) == life_of(announced) && order_of(held) < order_of(announced)
+        })
+    }
 }
 
 pub(crate) fn life_of(announced: &UpstreamAnnouncement) -> Option<&LifeId> {
     announced.life.as_ref().map(|life| &life.id)
 }
 
+fn order_of(announced: &UpstreamAnnouncement) -> Option<u64> {
+    announced.life.as_ref().map(|life| life.order)
+}
+
 impl NodeEngine {
     /// Returns the announcement to act on now, marked as leaving if the server was leaving before
     /// the restart. Returns `None` if the announcement is held until the replies arrive.
     pub(crate) fn resolve_leaving(
         &mut self,
+        now: Duration,
         announced: UpstreamAnnouncement,
     ) -> Option<UpstreamAnnouncement> {
         let leaves = announced.phase == UpstreamPhase::Leaving;
@@ -177,10 +195,24 @@
         if self.leaving_records.lookup.is_done || announced.life.is_none() {
             return Some(announced);
         }
+        if now >= REPLY_TIMEOUT && self.is_confirmed(&announced) {
+            self.leaving_records.lookup.held.remove(&announced.slot);
+            return Some(announced);
+        }
         self.leaving_records.hold_announcement(announced);
         None
     }
 
+    /// Returns whether a server announced itself at least twice to this incarnation of the node. A
+    /// server sends no announcement of its readiness after it began to leave, and one that is
+    /// delayed is hardly followed by another.
+    fn is_confirmed(&self, announced: &UpstreamAnnouncement) -> bool {
+        let known = self.upstreams.get(&announced.slot);
+        let accepted = known
+            .is_some_and(|known| known.available && known.life_id().as_ref() == life_of(announced));
+        accepted || self.leaving_records.is_repeated(announced)
+    }
+
     /// Drops the held announcement of a server that withdrew.
     pub(crate) fn drop_held_announcement(&mut self, slot: u16, life: Option<&LifeId>) {
         let held = self.leaving_records.lookup.held.get(&slot);
@@ -199,7 +231,6 @@
     /// announcement may still arrive.
     pub(crate) fn remember_withdrawal(
         &mut self,
-        now: Duration,
         slot: u16,
         life: &LifeId,
         out: &mut Vec<NodeCommand>,
@@ -208,12 +239,11 @@
             slot,
             life: life.clone(),
         };
-        let own = self.own.instance.node;
-        self.leaving_records.store(now, own, leaving.clone());
         self.replicate_leaving(&leaving, out);
     }
 
-    /// Sends a leaving server to the replicas, for this node's next incarnation.
+    /// Sends a leaving server to the replicas and the platform's store, for this node's next
+    /// incarnation.
     pub(crate) fn replicate_leaving(
         &mut self,
         leaving: &LeavingServer,
@@ -222,6 +252,13 @@
         if !self.uses_fleet_contract() {
             return;
         }
+        let (now, own) = (self.now, self.own.instance.node);
+        let stored = self.leaving_records.stored_for(now, own);
+        self.leaving_records.store(now, own, leaving.clone());
+        if !stored.contains(leaving) {
+            let servers = self.leaving_records.stored_for(now, own);
+            out.push(NodeCommand::RecordLeaving(servers));
+        }
         for replica in self.replicas_of(self.own.instance.node) {
             let message = LeavingMessage::Leaves(leaving.clone());
             self.send_peer(replica, PeerMessage::Leaving(message), out);
@@ -263,7 +300,7 @@
         self.limit_records.remove_expired(now);
         let lookup = &mut self.leaving_records.lookup;
         let enough = lookup.replied.len() >= REQUIRED_REPLIES || now >= REPLY_TIMEOUT;
-        if lookup.is_done || !enough {
+        if lookup.is_done || !lookup.is_read || !enough {
             return;
         }
         lookup.is_done = true;
@@ -272,6 +309,22 @@
         }
     }
 
+    /// Handles the record that an earlier incarnation of this node wrote to the platform's store.
+    pub(crate) fn on_leaving_servers_read(
+        &mut self,
+        now: Duration,
+        servers: Vec<LeavingServer>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        self.leaving_records.lookup.is_read = true;
+        let own = self.own.instance.node;
+        for leaving in servers {
+            self.leaving_records.store(now, own, leaving.clone());
+            self.close_accepted(now, &leaving, out);
+        }
+        self.tick_leaving_servers(now, out);
+    }
+
     pub(crate) fn on_leaving_message(
         &mut self,
         now: Duration,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -74,7 +74,7 @@
     ServerNotice, UpstreamAnnouncement, UpstreamLife, WorkEnd, WorkOffer, WorkReport, WorkTerms,
 };
 pub use fleet::ContractMode;
-pub use leaving::{LeavingMessage, LeavingServer};
+pub use leaving::{LEAVING_RECORD_LIFETIME, LeavingMessage, LeavingServer};
 pub use limit_records::LimitedServer;
 pub use message::{ContractAsk, PeerMessage};
 pub use node::NodeEngine;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -328,6 +328,9 @@
             NodeEvent::LogGap { stream, first } => self.on_log_gap(now, stream, first, out),
             NodeEvent::FleetContract(contract) => self.apply_contract(now, contract, None, out),
             NodeEvent::DirectoryRead { entries } => self.on_directory_read(entries),
+            NodeEvent::LeavingServersRead(servers) => {
+                self.on_leaving_servers_read(now, servers, out);
+            }
             NodeEvent::LogReachable(reachable) => self.on_log_reachable(now, reachable, out),
             NodeEvent::ContractReadBack { offset, bytes } => self.on_read_back(offset, &bytes),
             NodeEvent::DrainRequested => self.on_drain(now, out),
--- a/crates/engine/tests/session/leaving.rs
+++ b/crates/engine/tests/session/leaving.rs
@@ -1,11 +1,14 @@
 //! Restarts of a daemon that acknowledged that its local backend server leaves. The first
 //! announcement that the new incarnation receives may be a delayed one from before.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::ServiceName;
-use sycamorelink_engine::{LifeId, NodeEvent, ServerNotice, UpstreamAnnouncement, UpstreamLife};
+use sycamorelink_engine::{
+    LeavingServer, LifeId, NodeEvent, ServerNotice, UpstreamAnnouncement, UpstreamLife,
+};
 use sycamorelink_policy::UpstreamPhase;
 
 use crate::fleet_contract::contract;
@@ -159,10 +162,8 @@
     assert_eq!(phase_of(&world), Some(UpstreamPhase::Ready));
 }
 
-// Guards against waiting for replies that no node can give: all nodes restart at the same time.
-#[test]
-fn fully_restarted_fleet_accepts_its_servers_after_the_timeout() {
-    let mut world = fleet_with_leaving_server();
+/// Kills all nodes and starts them again.
+fn restart_all(world: &mut SessionWorld) {
     for number in 0..NODES {
         world.kill(&name_of(number));
     }
@@ -170,6 +171,91 @@
     for number in 0..NODES {
         world.start_node(number, 2);
     }
+}
+
+/// Starts a fleet whose store keeps that the server of `a` is leaving.
+fn fleet_with_recorded_leaving(leave: fn(&mut SessionWorld)) -> SessionWorld {
+    let mut world = SessionWorld::start_fleet(NODES, contract(1, "/prices/"));
+    world.recorded_leaving = Some(BTreeMap::new());
+    announce(&mut world, ("s", 1_000), 5, UpstreamPhase::Ready);
+    leave(&mut world);
+    world
+}
+
+// Guards against a leaving that is forgotten when all nodes, and with them its replicas, are lost right
+// after the acknowledgement. It does not matter how the server said that it leaves.
+#[test]
+fn leaving_is_known_after_the_loss_of_all_nodes() {
+    let announced: fn(&mut SessionWorld) =
+        |world| announce(world, ("s", 1_000), 6, UpstreamPhase::Leaving);
+    let withdrawn: fn(&mut SessionWorld) = |world| {
+        let life = Some(LifeId {
+            name: Arc::from("s"),
+            started: None,
+        });
+        world.send_event("a", NodeEvent::UpstreamWithdrawn { slot: 0, life });
+    };
+    for leave in [announced, withdrawn] {
+        let mut world = fleet_with_recorded_leaving(leave);
+        for _ in 0..2 {
+            restart_all(&mut world);
+            for order in [5, 6] {
+                announce(&mut world, ("s", 1_000), order, UpstreamPhase::Ready);
+                world.run_for(Duration::from_secs(2));
+                assert_ne!(phase_of(&world), Some(UpstreamPhase::Ready));
+            }
+        }
+        announce(&mut world, ("t", 9_000), 1, UpstreamPhase::Ready);
+        assert_eq!(phase_of(&world), Some(UpstreamPhase::Ready));
+    }
+}
+
+// Guards against accepting a delayed announcement while neither the replicas nor the store can tell
+// that its server was leaving.
+#[test]
+fn server_is_accepted_at_its_second_announcement_while_the_store_is_unreachable() {
+    let mut world = fleet_with_leaving_server();
+    world.set_log_reachable(false);
+    restart_all(&mut world);
+    announce(&mut world, ("s", 1_000), 5, UpstreamPhase::Ready);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(phase_of(&world), None);
+    announce(&mut world, ("t", 2_000), 1, UpstreamPhase::Ready);
+    world.run_for(Duration::from_millis(1_500));
+    assert_eq!(phase_of(&world), None);
+    for order in 2..5 {
+        announce(&mut world, ("t", 2_000), order, UpstreamPhase::Ready);
+        assert_eq!(phase_of(&world), Some(UpstreamPhase::Ready));
+    }
+}
+
+// Guards against a store that is read late: the server was accepted meanwhile.
+#[test]
+fn record_that_is_read_late_closes_an_accepted_server() {
+    let mut world = fleet_with_leaving_server();
+    world.set_log_reachable(false);
+    restart_all(&mut world);
+    world.run_for(ACCEPT_LIMIT);
+    for order in [3, 4] {
+        announce(&mut world, ("s", 1_000), order, UpstreamPhase::Ready);
+    }
+    assert_eq!(phase_of(&world), Some(UpstreamPhase::Ready));
+    let leaving = LeavingServer {
+        slot: 0,
+        life: LifeId {
+            name: Arc::from("s"),
+            started: None,
+        },
+    };
+    world.send_event("a", NodeEvent::LeavingServersRead(vec![leaving]));
+    assert_eq!(phase_of(&world), Some(UpstreamPhase::Leaving));
+}
+
+// Guards against waiting for replies that no node can give: all nodes restart at the same time.
+#[test]
+fn fully_restarted_fleet_accepts_its_servers_after_the_timeout() {
+    let mut world = fleet_with_leaving_server();
+    restart_all(&mut world);
     announce(&mut world, ("t", 2_000), 1, UpstreamPhase::Ready);
     world.run_for(ACCEPT_LIMIT);
     assert_eq!(phase_of(&world), Some(UpstreamPhase::Ready));
--- a/crates/engine/tests/session/world.rs
+++ b/crates/engine/tests/session/world.rs
@@ -21,7 +21,7 @@
 };
 use sycamorelink_engine::{
     AttemptOrder, AttemptReport, CallerRequest, ContractAsk, ContractMode, EngineSettings,
-    LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, NodeNote, PeerMessage,
+    LeavingServer, LogEntry, LogStream, NodeCommand, NodeEngine, NodeEvent, NodeNote, PeerMessage,
     RefusedForecast, RepeatLoanMessage, RequestSummary, ServerNotice, UpstreamAnnouncement,
     WorkEnd, WorkOffer, WorkReport,
 };
@@ -124,6 +124,9 @@
     works: BTreeMap<(NodeId, WorkId), RunningWork>,
     next_work: u64,
     logs: BTreeMap<LogStream, Vec<Arc<[u8]>>>,
+    /// Leaving servers that each node recorded in the platform's store; `None` if the store keeps
+    /// none, for tests of the replicas.
+    pub recorded_leaving: Option<BTreeMap<NodeId, Vec<LeavingServer>>>,
     log_reachable: bool,
     /// Behaviour of each node's backend server.
     pub scripts: BTreeMap<NodeId, BackendScript>,
@@ -326,6 +329,7 @@
             works: BTreeMap::new(),
             next_work: 1,
             logs: BTreeMap::new(),
+            recorded_leaving: None,
             log_reachable: true,
             scripts: BTreeMap::new(),
             runs: BTreeMap::new(),
@@ -428,6 +432,12 @@
         self.addresses.insert(gossip, id);
         self.feed(id, NodeEvent::Tick);
         self.feed(id, NodeEvent::LogReachable(self.log_reachable));
+        if self.log_reachable {
+            let recorded = self.recorded_leaving.as_ref();
+            let leaving = recorded.and_then(|recorded| recorded.get(&id).cloned());
+            let leaving = leaving.unwrap_or_default();
+            self.feed(id, NodeEvent::LeavingServersRead(leaving));
+        }
         match self.fleet.clone() {
             Some(contract) => self.feed(id, NodeEvent::FleetContract(contract)),
             None if self.log_reachable && !self.first_start => self.read_logs(id),
@@ -684,6 +694,11 @@
             }
             NodeCommand::AppendGuard { bytes } => self.append(LogStream::Guard, bytes),
             NodeCommand::AppendContract { bytes } => self.append(LogStream::Contracts, bytes),
+            NodeCommand::RecordLeaving(servers) if self.log_reachable => {
+                if let Some(recorded) = &mut self.recorded_leaving {
+                    recorded.insert(id, servers);
+                }
+            }
             NodeCommand::RereadContracts => {
                 self.cursors.remove(&(id, LogStream::Contracts));
                 if self.log_reachable {
