Restore an incarnation that a late announcement has displaced

Cause: any unknown incarnation was taken for the next one, and the one in its place never accepted again. A late 421 ended the incarnation that was current when it arrived, not the one that the request was sent to.

Change: the former incarnation is kept until the new one is confirmed by a second announcement. Two announcements of its own bring it back, and so does a 421 to work of the one in its place. A 421 ends the incarnation that the work was sent to.

--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -25,9 +25,42 @@
         let Some(announced) = self.resolve_leaving(now, announced) else {
             return;
         };
-        let Some(announced) = self.admit_announcement(announced) else {
+        if announced.phase == UpstreamPhase::Leaving && self.end_displaced(&announced, out) {
             return;
+        }
+        if let Some(announced) = self.admit_announcement(announced) {
+            self.apply_announcement(now, announced, out);
+        }
+    }
+
+    /// Ends the displaced incarnation if it announces that it leaves. Returns whether it did.
+    fn end_displaced(
+        &mut self,
+        announced: &UpstreamAnnouncement,
+        out: &mut Vec<NodeCommand>,
+    ) -> bool {
+        let known = self.upstreams.get_mut(&announced.slot);
+        let (Some(known), Some(life)) = (known, life_of(announced)) else {
+            return false;
+        };
+        if !known.is_displaced(announced) {
+            return false;
+        }
+        known.end_life(life.clone());
+        let leaving = LeavingServer {
+            slot: announced.slot,
+            life: life.clone(),
         };
+        self.replicate_leaving(&leaving, out);
+        true
+    }
+
+    fn apply_announcement(
+        &mut self,
+        now: Duration,
+        announced: UpstreamAnnouncement,
+        out: &mut Vec<NodeCommand>,
+    ) {
         if announced.phase == UpstreamPhase::Leaving
             && let Some(life) = life_of(&announced)
         {
@@ -41,9 +74,10 @@
         let expires_at = now + self.settings.announcement;
         let mut known = self.upstreams.remove(&slot);
         if let Some(known) = &mut known {
-            known.end_if_replaced(&announced);
+            known.displace_if_replaced(&announced);
         }
         let ended_lives = known.as_ref().map(|known| known.ended_lives.clone());
+        let displaced = known.as_mut().and_then(|known| known.displaced.take());
         let is_new = known.as_ref().is_none_or(|known| !known.available);
         let same = known.as_ref().is_some_and(|known| {
             known.available
@@ -82,6 +116,7 @@
         }
         upstream.expires_at = expires_at;
         upstream.ended_lives = ended_lives.unwrap_or_default();
+        upstream.displaced = displaced;
         upstream.announced = announced;
         let facts = facts_of(&upstream.announced);
         let phase = upstream.announced.phase;
@@ -114,22 +149,32 @@
     /// Returns the announcement to apply, or `None` if it is outdated.
     ///
     /// Guards against a delayed announcement that revives an ended incarnation: each incarnation
-    /// numbers its announcements, and a replaced incarnation is never accepted again. An
+    /// numbers its announcements, and one that is known to have ended is never accepted again. An
     /// incarnation that is leaving stays leaving whatever phase it announces.
     ///
+    /// An unknown incarnation is accepted at once, since it usually is the next one. If it is an
+    /// earlier one whose announcement was delayed, the displaced one goes on announcing itself and
+    /// is accepted again.
+    ///
     /// A server that restarts under its name numbers its announcements from the start again. The
     /// start time identifies the later incarnation; otherwise the announcements would count as
     /// outdated until their numbers catch up, and the server would stay idle meanwhile.
-    fn admit_announcement(&self, announced: UpstreamAnnouncement) -> Option<UpstreamAnnouncement> {
+    fn admit_announcement(
+        &mut self,
+        announced: UpstreamAnnouncement,
+    ) -> Option<UpstreamAnnouncement> {
         let Some(life) = &announced.life else {
             return Some(announced);
         };
-        let Some(known) = self.upstreams.get(&announced.slot) else {
+        let Some(known) = self.upstreams.get_mut(&announced.slot) else {
             return Some(announced);
         };
         if known.ended_lives.contains(&life.id) {
             return None;
         }
+        if known.is_displaced(&announced) {
+            return known.count_displaced(&announced).then_some(announced);
+        }
         let current = known.announced.life.as_ref();
         if current.is_some_and(|current| life.id.is_earlier_than(&current.id)) {
             return None;
@@ -194,15 +239,27 @@
         self.on_announced(now, leaving, out);
     }
 
-    /// Ends an incarnation in whose place another server answered. The server that runs there now
-    /// has not announced itself yet.
-    pub(crate) fn on_replaced(&mut self, now: Duration, slot: u16, out: &mut Vec<NodeCommand>) {
-        if let Some(known) = self.upstreams.get_mut(&slot)
-            && let Some(id) = known.life_id()
-        {
-            known.end_life(id);
+    /// Ends the incarnation that work was sent to and in whose place another server answered. That is
+    /// the one that was displaced, or one that has not announced itself yet.
+    ///
+    /// The answer may be late, so the incarnation that is current by now may be another one.
+    pub(crate) fn on_replaced(
+        &mut self,
+        now: Duration,
+        slot: u16,
+        life: Option<&LifeId>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let known = self.upstreams.get_mut(&slot);
+        let (Some(known), Some(life)) = (known, life) else {
+            return self.on_withdrawn(now, slot, out);
+        };
+        let was_current = known.life_id().as_ref() == Some(life);
+        if let Some(announced) = known.end_and_restore(life) {
+            self.apply_announcement(now, announced, out);
+        } else if was_current {
+            self.on_withdrawn(now, slot, out);
         }
-        self.on_withdrawn(now, slot, out);
     }
 
     pub(crate) fn new_upstream(
@@ -227,6 +284,7 @@
             life: 0,
             available: true,
             ended_lives: Vec::new(),
+            displaced: None,
         }
     }
 
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -363,6 +363,7 @@
             return;
         };
         let slot = state.offer.slot;
+        let life = state.life.clone();
         let signature = state.signature();
         let on_turn = state.on_turn;
         let run_use = self.run_use(now, report);
@@ -388,7 +389,7 @@
         self.observe_local_run(now, report);
         match report.end {
             WorkEnd::Crashed => self.on_backend_crash(now, work, slot, out),
-            WorkEnd::Replaced => self.on_replaced(now, slot, out),
+            WorkEnd::Replaced => self.on_replaced(now, slot, life.as_ref(), out),
             WorkEnd::NotStarted if self.uses_fleet_contract() => self.on_withdrawn(now, slot, out),
             WorkEnd::Replied => {
                 let mut commands = Vec::new();
--- a/crates/engine/tests/session/leaving.rs
+++ b/crates/engine/tests/session/leaving.rs
@@ -21,7 +21,7 @@
 /// Limit for accepting a server that is not leaving: a fraction of the interval between heartbeats.
 const ACCEPT_LIMIT: Duration = Duration::from_millis(700);
 
-fn announced(
+pub fn announced(
     name: &str,
     started_ms: u64,
     order: u64,
@@ -41,13 +41,13 @@
     }
 }
 
-fn announce(world: &mut SessionWorld, life: (&str, u64), order: u64, phase: UpstreamPhase) {
+pub fn announce(world: &mut SessionWorld, life: (&str, u64), order: u64, phase: UpstreamPhase) {
     let announced = announced(life.0, life.1, order, phase);
     world.send_event("a", NodeEvent::UpstreamAnnounced(announced));
 }
 
 /// Returns the phase of the local server of `a`, or `None` if the node has not accepted it.
-fn phase_of(world: &SessionWorld) -> Option<UpstreamPhase> {
+pub fn phase_of(world: &SessionWorld) -> Option<UpstreamPhase> {
     let engine = &world.engines()[&node("a")];
     let upstreams = engine.local_upstreams().into_iter();
     upstreams.map(|(_, announced, _)| announced.phase).next()
--- a/crates/engine/tests/session/main.rs
+++ b/crates/engine/tests/session/main.rs
@@ -1,6 +1,7 @@
 //! Sessions of simulated fleets with virtual time. Some compare the exact order of events and
 //! commands with a snapshot, others inject random faults and check invariants after each step.
 
+mod announcements;
 mod attribution;
 mod audit;
 mod caller_queue;
