End a reply that consists of interim replies without end

Callers waited for their deadline, and a slot stayed taken as long, when a backend server sent status 1xx again and again.

Cause: the HTTP library skips interim replies without a bound.

Change: more than 16 interim replies end a request as a malformed reply. A connection to a backend server reads at most 64 KiB at once, since the channels between the threads hold some reads of each reply whose caller is slow.

--- a/crates/daemon/src/work/backend.rs
+++ b/crates/daemon/src/work/backend.rs
@@ -9,6 +9,8 @@
 use std::error::Error as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use crate::body::{BodyReceiver, BodyTruncated};
 
@@ -37,6 +40,11 @@
 const LIVENESS_CHECK_PAUSE: Duration = Duration::from_millis(20);
 /// Largest number of idle connections to one backend server.
 const MAX_IDLE: usize = 16;
+/// Greatest size of a reply's head and of a chunk of its body, in bytes. The channels between the
+/// threads hold some chunks of each reply whose caller reads slowly.
+const READ_BUFFER_LIMIT: usize = 64 << 10;
+/// Interim replies (status 1xx) before the final one after which a reply counts as malformed.
+const MAX_INTERIM_REPLIES: usize = 16;
 
 /// Request body sent to a backend server.
 pub type BackendBody = UnsyncBoxBody<Bytes, BodyTruncated>;
@@ -47,6 +55,9 @@
     /// No byte of the request was sent.
     #[error("no connection to the backend server")]
     NotSent,
+    /// The backend server sent interim replies without end.
+    #[error("more than {MAX_INTERIM_REPLIES} interim replies")]
+    Interim,
     /// Some of the request may have been sent.
     #[error("the connection broke before a reply")]
     Broken {
@@ -81,6 +92,20 @@
         slot: u16,
         address: SocketAddr,
         request: Request<BackendBody>,
+    ) -> Result<(Response<Incoming>, BackendConnection), SendFailure> {
+        let mut request = request;
+        let too_many = limit_interim_replies(&mut request);
+        tokio::select! {
+            sent = self.send_on_any(slot, address, request) => sent,
+            () = too_many.notified() => Err(SendFailure::Interim),
+        }
+    }
+
+    async fn send_on_any(
+        &self,
+        slot: u16,
+        address: SocketAddr,
+        request: Request<BackendBody>,
     ) -> Result<(Response<Incoming>, BackendConnection), SendFailure> {
         let mut request = request;
         while let Some(mut sender) = self.take_idle(slot) {
@@ -129,6 +154,22 @@
     }
 }
 
+/// Counts the interim replies to a request. The result is notified when there are too many.
+///
+/// The HTTP library skips interim replies. A server that sends nothing else would hold its slot, and
+/// use the processor, until the deadline.
+fn limit_interim_replies(request: &mut Request<BackendBody>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let count = AtomicUsize::new(0);
+    let exceeded = Arc::clone(&too_many);
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_REPLIES {
+            exceeded.notify_one();
+        }
+    });
+    too_many
+}
+
 /// Distinguishes a connection that went silent from one that was reset or closed.
 fn broken_failure(error: &hyper::Error) -> SendFailure {
     let cause = error
@@ -145,7 +186,10 @@
     };
     let _ = stream.set_nodelay(true);
     set_silence_timeouts(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_LIMIT)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(|_| SendFailure::NotSent)?;
     tokio::task::spawn_local(async move {
         let _ = connection.await;
--- a/crates/daemon/src/work/executor.rs
+++ b/crates/daemon/src/work/executor.rs
@@ -270,6 +270,7 @@
                 }
                 end
             }
+            Err(SendFailure::Interim) => self.reject(EventCode::ReplyMalformed),
             Err(SendFailure::NotSent) => RunEnd::of(WorkEnd::NotStarted),
             Err(SendFailure::Broken { silent }) => RunEnd::of(self.classify(address, silent).await),
         }
