Record every withdrawal, and requests made before the writer runs

A server that withdraws while a late announcement has displaced it, or after it was replaced, was marked as ended in memory only, so that the next incarnation of the daemon could accept a delayed announcement of it. Its withdrawal is recorded now, like that of a server that the daemon doesn't know. A leaving that was requested before the task that writes it ran was not written; the task now starts from the number of the last one written.

`displaced_incarnation_that_withdraws_is_recorded_as_leaving` holds the first. The second was found by reading and has no test of its own.

--- a/crates/daemon/src/leaving_record.rs
+++ b/crates/daemon/src/leaving_record.rs
@@ -64,8 +64,12 @@
     ) {
         let mut backoff = OutageBackoff::new(DIRECTORY_BACKOFF, seed);
         let mut requests = self.requested.subscribe();
-        while requests.changed().await.is_ok() {
-            let mut request = requests.borrow_and_update().clone();
+        loop {
+            let written = *self.written.borrow();
+            let next = requests.wait_for(|request| request.number > written).await;
+            let Ok(mut request) = next.map(|request| request.clone()) else {
+                return;
+            };
             while let Some(directory) = &directory {
                 let entry = LeavingEntry {
                     name: Arc::clone(&name),
@@ -78,7 +82,7 @@
                         let pause = pause_after(&error, backoff.fail(clock.now()));
                         tracing::warn!(%error, ?pause, "failed to record the leaving servers");
                         tokio::time::sleep(pause).await;
-                        request = requests.borrow_and_update().clone();
+                        request = self.requested.borrow().clone();
                     }
                 }
             }
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -40,17 +40,13 @@
         out: &mut Vec<NodeCommand>,
     ) -> bool {
         let known = self.upstreams.get_mut(&announced.slot);
-        let (Some(known), Some(life)) = (known, life_of(announced)) else {
+        let (Some(known), Some(leaving)) = (known, LeavingServer::of(announced)) else {
             return false;
         };
         if !known.is_displaced(announced) {
             return false;
         }
-        known.end_life(life.clone());
-        let leaving = LeavingServer {
-            slot: announced.slot,
-            life: life.clone(),
-        };
+        known.end_life(leaving.life.clone());
         self.replicate_leaving(&leaving, out);
         true
     }
@@ -62,12 +58,8 @@
         out: &mut Vec<NodeCommand>,
     ) {
         if announced.phase == UpstreamPhase::Leaving
-            && let Some(life) = life_of(&announced)
+            && let Some(leaving) = LeavingServer::of(&announced)
         {
-            let leaving = LeavingServer {
-                slot: announced.slot,
-                life: life.clone(),
-            };
             self.replicate_leaving(&leaving, out);
         }
         let slot = announced.slot;
@@ -214,6 +206,7 @@
         let current = known.life_id();
         let Some(current) = current.filter(|current| id.matches(current)) else {
             known.end_life(id.clone());
+            self.remember_withdrawal(slot, id, out);
             return;
         };
         if known.announced.phase == UpstreamPhase::Leaving {
--- a/crates/engine/src/completion.rs
+++ b/crates/engine/src/completion.rs
@@ -307,16 +307,10 @@
     }
 
     pub(crate) fn on_deadline(&mut self, now: Duration, id: RequestId, out: &mut Vec<NodeCommand>) {
-        let Some(code) = self
-            .requests
-            .get(&id)
-            .map(|state| self.deadline_code(state))
-        else {
-            return;
-        };
         let Some(state) = self.requests.get_mut(&id) else {
             return;
         };
+        let deadline = state.deadline;
         let run = if state.may_have_run() {
             RunState::Unknown
         } else {
@@ -339,6 +333,7 @@
         if dispatched {
             self.settle_guard(now, id, DispatchOutcome::Lost, out);
         }
+        let code = self.deadline_code(deadline);
         let refusal = RequestRefusal {
             code,
             run,
--- a/crates/engine/src/drain.rs
+++ b/crates/engine/src/drain.rs
@@ -18,7 +18,6 @@
 
 use crate::command::NodeCommand;
 use crate::node::{HandoverState, NodeEngine, TimerPurpose};
-use crate::request::RequestState;
 
 /// Time within which gossip carries the departure of a node to every peer.
 const LEAVE_PROPAGATION_TIME: Duration = Duration::from_secs(2);
@@ -106,8 +105,8 @@
 
     /// Returns the reason for which a request is ended at its deadline: the caller's, or the stop of
     /// this node.
-    pub(crate) fn deadline_code(&self, state: &RequestState) -> RefusalCode {
-        if self.stops_at().is_some_and(|at| state.deadline >= at) {
+    pub(crate) fn deadline_code(&self, deadline: Duration) -> RefusalCode {
+        if self.stops_at().is_some_and(|at| deadline >= at) {
             RefusalCode::Draining
         } else {
             RefusalCode::DeadlineExceeded
--- a/crates/engine/src/leaving.rs
+++ b/crates/engine/src/leaving.rs
@@ -72,6 +72,15 @@
     pub life: LifeId,
 }
 
+impl LeavingServer {
+    /// Returns the server of an announcement; `None` if it does not name its incarnation.
+    pub(crate) fn of(announced: &UpstreamAnnouncement) -> Option<Self> {
+        let life = life_of(announced)?.clone();
+        let slot = announced.slot;
+        Some(Self { slot, life })
+    }
+}
+
 /// Leaving servers stored for other nodes and, under this node, its own; and those that replicas
 /// stored for this node's previous incarnation.
 #[derive(Debug, Default)]
@@ -227,8 +236,8 @@
         }
     }
 
-    /// Records the withdrawal of a server that has not announced itself yet. Its delayed
-    /// announcement may still arrive.
+    /// Records the withdrawal of a server that is not the current one or has not announced itself
+    /// yet. Its delayed announcement may still arrive, at the next incarnation of this node too.
     pub(crate) fn remember_withdrawal(
         &mut self,
         slot: u16,
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -119,7 +119,7 @@
         &self.rule.terms
     }
 
-    /// Moves the deadline forward to `deadline`.
+    /// Sets an earlier deadline.
     pub fn limit_deadline(&mut self, deadline: Duration) {
         self.deadline = deadline;
         self.plan.limit_deadline(deadline);
--- a/crates/engine/tests/session/announcements.rs
+++ b/crates/engine/tests/session/announcements.rs
@@ -1,10 +1,12 @@
 //! Announcements and answers that arrive late, after another incarnation of the backend server has taken
 //! the place of their sender.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::RequestId;
-use sycamorelink_engine::{NodeEvent, WorkEnd};
+use sycamorelink_engine::{LifeId, NodeEvent, WorkEnd};
 use sycamorelink_policy::UpstreamPhase;
 
 use crate::fleet_contract::contract;
@@ -107,6 +109,23 @@
     }
 }
 
+// Guards against a withdrawal that the next incarnation of the node forgets, because a delayed
+// announcement had taken the place of the server.
+#[test]
+fn displaced_incarnation_that_withdraws_is_recorded_as_leaving() {
+    let mut world = fleet();
+    world.recorded_leaving = Some(BTreeMap::new());
+    announce(&mut world, EARLIER, 7, UpstreamPhase::Ready);
+    let life = Some(LifeId {
+        name: Arc::from(CURRENT.0),
+        started: None,
+    });
+    world.send_event("a", NodeEvent::UpstreamWithdrawn { slot: 0, life });
+    let recorded = world.recorded_leaving.unwrap_or_default();
+    let names = recorded[&node("a")].iter().map(|server| &*server.life.name);
+    assert!(names.eq([CURRENT.0]));
+}
+
 // Guards against a new incarnation that gets no work for good after a late rejection of work that was
 // sent to its predecessor.
 #[test]
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Moves the deadline forward to `deadline` if it is later than that.
+    /// Lowers the deadline to `deadline` if it is later than that.
     pub fn limit_deadline(&mut self, deadline: Duration) {
         self.deadline = self.deadline.min(deadline);
     }
