--- a/crates/engine/src/drain.rs
+++ b/crates/engine/src/drain.rs
@@ -58,9 +58,9 @@
     /// stops; `None` if it is accepted.
     ///
     /// Callers that check the readiness of their node keep sending requests to it for up to
-    /// [`EngineSettings::leave_serving`](crate::EngineSettings::leave_serving). Most of them end
-    /// long before their deadline, so until then the service's usual latency decides. A late one
-    /// would be cut off, so after that the deadline does.
+    /// [`EngineSettings::leave_serving`](crate::EngineSettings::leave_serving). Most requests end
+    /// long before their deadline, so until then the service's usual latency decides whether one is
+    /// accepted, and after that its deadline.
     ///
     /// A node that reported itself drained is stopped at any moment and refuses everything.
     pub(crate) fn refusal_to_leave(
