--- a/crates/engine/src/leaving.rs
+++ b/crates/engine/src/leaving.rs
@@ -179,7 +179,7 @@
     announced.life.as_ref().map(|life| &life.id)
 }
 
-fn order_of(announced: &UpstreamAnnouncement) -> Option<u64> {
+pub(crate) fn order_of(announced: &UpstreamAnnouncement) -> Option<u64> {
     announced.life.as_ref().map(|life| life.order)
 }
 
--- a/crates/engine/src/local_upstream.rs
+++ b/crates/engine/src/local_upstream.rs
@@ -7,7 +7,7 @@
 
 use crate::event::{LifeId, UpstreamAnnouncement};
 use crate::health::ReportedHealth;
-use crate::leaving::life_of;
+use crate::leaving::{life_of, order_of};
 use crate::server_notices::ServerLimit;
 
 /// Maximum number of ended incarnations remembered per backend server. A delayed announcement
@@ -122,9 +122,7 @@
         let Some(displaced) = &mut self.displaced else {
             return false;
         };
-        let order =
-            |announced: &UpstreamAnnouncement| announced.life.as_ref().map(|life| life.order);
-        if order(announced) > order(&displaced.announced) {
+        if order_of(announced) > order_of(&displaced.announced) {
             displaced.announced = announced.clone();
             displaced.announcements += 1;
         }
