--- a/review/stand-ins-2/rig.py
+++ b/review/stand-ins-2/rig.py
@@ -126,6 +126,9 @@
     def __init__(self):
         self.topics = {}
         self.changed = asyncio.Event()
+        # Machines that the store turns away, and when each machine last asked for the configuration.
+        self.turned_away = set()
+        self.config_read_at = {}
 
     def put(self, topic, key, value):
         self.topics.setdefault(topic, []).append((key, value))
@@ -136,14 +139,30 @@
         self.address = f"{ip}:{STORE_PORT}"
         self.server = await asyncio.start_server(self.serve, ip, STORE_PORT)
 
-    async def serve(self, reader, writer):
+    async def start_for(self, ip, machine):
+        """Listens for the calls of one machine, which loopback addresses don't tell apart."""
+
+        async def serve(reader, writer):
+            await self.serve(reader, writer, machine)
+
+        port = STORE_PORT + 1 + machine
+        await asyncio.start_server(serve, ip, port)
+        return f"{ip}:{port}"
+
+    async def serve(self, reader, writer, machine=None):
         try:
             while True:
                 head = await read_head(reader)
                 body = await read_body(head, reader)
                 path, _, query = head.target.partition("?")
                 terms = dict(term.split("=", 1) for term in query.split("&") if "=" in term)
-                status, kind, answer = await self.answer(path, terms, body)
+                if terms.get("topic") == "keyed.op":
+                    self.config_read_at[machine] = now()
+                status, kind, answer = 503, "application/json", b"{}"
+                if machine not in self.turned_away:
+                    status, kind, answer = await self.answer(path, terms, body)
+                if machine in self.turned_away:
+                    status, kind, answer = 503, "application/json", b"{}"
                 lines = f"HTTP/1.1 {status} -\r\nContent-Type: {kind}\r\nContent-Length: {len(answer)}\r\n\r\n"
                 writer.write(lines.encode() + answer)
                 await writer.drain()
@@ -373,9 +392,9 @@
 class Fleet:
     """A store, some daemons and a backend server beside each."""
 
-    def __init__(self, record, services, routes, run, bounds, slots=5, tenants=(), max_fds=None):
+    def __init__(self, record, services, routes, run, bounds, slots=5, tenants=(), max_fds=None, own_stores=False):
         self.record, self.bounds = record, bounds
-        self.tenants, self.max_fds = tenants, max_fds
+        self.tenants, self.max_fds, self.own_stores = tenants, max_fds, own_stores
         self.services, self.routes, self.run, self.slots = services, routes, run, slots
         self.directory = tempfile.mkdtemp(prefix="review-")
         self.instances, self.backends = [], []
@@ -386,7 +405,10 @@
         await self.store.start(f"{base}.200")
         self.configure(5, self.tenants)
         for number, service in enumerate(self.services):
-            instance = Instance(number, service, base, self.store.address, self.directory, self.bounds)
+            store = self.store.address
+            if self.own_stores:
+                store = await self.store.start_for(f"{base}.200", number)
+            instance = Instance(number, service, base, store, self.directory, self.bounds)
             instance.max_fds = self.max_fds
             self.instances.append(instance)
             admin = instance.addresses["admin"]
@@ -403,9 +425,9 @@
             await asyncio.sleep(0.1)
         self.record.line(f"{len(self.instances)} daemons are ready")
 
-    def configure(self, version, tenants):
+    def configure(self, version, tenants=(), routes=None):
         """Writes a configuration as the operator does."""
-        text = json.dumps(configuration(self.routes, version, tenants))
+        text = json.dumps(configuration(routes or self.routes, version, tenants))
         self.store.put("keyed.op", "config", text.encode())
 
     def outbound(self, number):
@@ -427,7 +449,7 @@
     """Returns the first three parts of loopback addresses on which all ports are free."""
     for _ in range(100):
         base = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
-        needed = [(f"{base}.200", STORE_PORT)]
+        needed = [(f"{base}.200", STORE_PORT + number) for number in range(count + 1)]
         for number in range(count):
             ports = [*PORTS.values(), GOSSIP_PORT, METRICS_PORT, APP_PORT]
             needed += [(f"{base}.{number + 1}", port) for port in ports]
