--- a/review/5/case.py
+++ b/review/5/case.py
@@ -19,9 +19,7 @@
 SEGMENT = 1460
 
 
-async def run(backend, head, reader, writer):
-    await rig.read_body(head, reader)
-    backend.began(head)
+async def run(backend, head, body, writer):
     await backend.reply(head, writer, b"D" * SIZE)
     backend.record.line(f"server {backend.id} has sent the whole answer to {head.id}")
     return True
@@ -73,8 +71,15 @@
         process.send_signal(signal.SIGTERM)
         stopped = rig.now()
         record.line("SIGTERM to the daemon that took the requests")
-        code = await asyncio.wait_for(process.wait(), 30)
-        record.line(f"the daemon ended by itself {rig.now() - stopped:.2f} s later with {code}")
+        try:
+            code = await asyncio.wait_for(process.wait(), GRACE_S)
+        except asyncio.TimeoutError:
+            process.kill()
+            code = await process.wait()
+        record.line(f"the daemon ended {rig.now() - stopped:.2f} s later with {code}")
+        await asyncio.sleep(0.5)
+        await fleet.instances[0].start()
+        record.line("the platform starts the daemon again")
     answers = await asyncio.gather(*downloads)
     lost = 0
     for name, (status, body) in zip(ids, answers):
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,7 +10,6 @@
 SERVERS = 3
 SLOTS = 5
 WORK_S = 0.3
-QUEUE = 48
 REQUESTS_PER_S = 42
 HELD_UP = 3
 HEARTBEAT_S = 1.5
@@ -21,17 +20,8 @@
 OBSERVED_S = 24
 
 
-async def run(backend, head, reader, writer):
-    await rig.read_body(head, reader)
-    if not hasattr(backend, "free"):
-        backend.free, backend.waiting = asyncio.Semaphore(backend.slots), 0
-    if backend.waiting >= QUEUE:
-        return await backend.reject(head, writer)
-    backend.waiting += 1
-    async with backend.free:
-        backend.waiting -= 1
-        backend.began(head)
-        await asyncio.sleep(WORK_S)
+async def run(backend, head, body, writer):
+    await backend.work(WORK_S)
     return await backend.reply(head, writer, b"booked")
 
 
--- a/review/stand-ins-2/rig.py
+++ b/review/stand-ins-2/rig.py
@@ -28,6 +28,11 @@
 PORTS = {"inbound": 8145, "outbound": 8141, "ready": 8140, "admin": 8146}
 GOSSIP_PORT, METRICS_PORT, APP_PORT, STORE_PORT = 7660, 7675, 8147, 8142
 
+# A backend server as the small sites have it.
+MAX_CONNECTIONS, QUEUE, IDLE_CLOSE_S, HEALTH_CHECK_S = 330, 48, 10, 0.025
+HEARTBEAT_S, WARM_UP_S = 1.5, 3.0
+KEEP_ALIVE = f"Keep-Alive: timeout={IDLE_CLOSE_S}\r\n"
+
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -88,6 +93,10 @@
             if colon:
                 self.headers[name.lower()] = value.strip()
 
+    @property
+    def method(self):
+        return self.line.split(" ")[0]
+
     @property
     def target(self):
         return self.line.split(" ")[1]
@@ -163,7 +172,7 @@
                     status, kind, answer = await self.answer(path, terms, body)
                 if machine in self.turned_away:
                     status, kind, answer = 503, "application/json", b"{}"
-                lines = f"HTTP/1.1 {status} -\r\nContent-Type: {kind}\r\nContent-Length: {len(answer)}\r\n\r\n"
+                lines = f"HTTP/1.1 {status} -\r\nStore-Era: 1\r\nContent-Type: {kind}\r\nContent-Length: {len(answer)}\r\n\r\n"
                 writer.write(lines.encode() + answer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
@@ -179,22 +188,26 @@
             items = [
                 {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
                 for key, (value, offset) in sorted(newest.items())
-                if value
+                if value and key > terms.get("after", "")
             ]
-            page = {"items": items, "hasMore": False, "endOffset": len(topic)}
+            page = {"items": items[:500], "hasMore": len(items) > 500, "endOffset": len(topic)}
             return 200, kind, json.dumps(page).encode()
         if path == "/log-read":
-            return await self.read(topic, int(terms["from"]), int(terms.get("waitMs", 0)) / 1000)
+            return await self.read(topic, int(terms["from"]), min(30_000, int(terms.get("waitMs", 0))) / 1000)
         if path == "/log-append":
             if terms["topic"] in ("keyed.op", "keyed.servers"):
                 return 403, kind, b"{}"
             first = len(topic)
+            if int(terms.get("at", first)) != first:
+                return 412, kind, json.dumps({"endOffset": first}).encode()
+            await asyncio.sleep(0.002)
             while body:
                 (size,) = struct.unpack(">I", body[:4])
                 record, body = body[4 : 4 + size], body[4 + size :]
                 self.put(terms["topic"], record[1 : 1 + record[0]].decode(), record[1 + record[0] :])
             return 200, kind, json.dumps({"offset": first, "endOffset": len(topic)}).encode()
-        return 404, kind, b"{}"
+        # Calls that the daemons don't make: nothing was done.
+        return 503, kind, b"{}"
 
     async def read(self, topic, start, wait):
         if start > len(topic):
@@ -244,6 +257,7 @@
         self.slots = slots
         self.connections = set()
         self.runs = []
+        self.free, self.waiting = asyncio.Semaphore(slots), 0
         self.beating = True
         self.new_incarnation()
 
@@ -251,7 +265,7 @@
         self.id = f"i-{random.getrandbits(40):010x}"
         self.born = int(time.time() * 1000)
         self.seq = 0
-        self.is_acknowledged = False
+        self.started = now()
 
     async def start(self):
         await self.listen()
@@ -278,7 +292,7 @@
         self.seq += 1
         body = {
             "service": self.service, "address": f"{self.ip}:{APP_PORT}", "zone": "zone-a", "version": "v1",
-            "slots": self.slots, "state": "ready", "warmupLeft": "0ms", "seq": self.seq, "born": self.born,
+            "slots": self.slots, "state": "ready", "warmupLeft": f"{int(self.warm_up_left() * 1000)}ms", "seq": self.seq, "born": self.born,
         }
         return f"/instances/{self.id}/heartbeat", body
 
@@ -291,7 +305,9 @@
             reader, writer = await asyncio.wait_for(asyncio.open_connection(ip, int(port)), 1)
             try:
                 writer.write(f"{lines}Content-Length: {len(data)}\r\n\r\n".encode() + data)
-                return (await asyncio.wait_for(read_head(reader), 1)).status
+                head = await asyncio.wait_for(read_head(reader), 1)
+                answer = await asyncio.wait_for(read_body(head, reader), 1)
+                return head.status if len(answer) <= 4096 else None
             finally:
                 writer.close()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
@@ -300,33 +316,83 @@
     async def send_heartbeats(self):
         while True:
             if self.beating:
-                status = await self.call_daemon(*self.next_heartbeat())
-                self.is_acknowledged |= status == 200
-            await asyncio.sleep(1.5 if self.is_acknowledged else 0.3)
+                await self.call_daemon(*self.next_heartbeat())
+            await asyncio.sleep(HEARTBEAT_S)
 
     async def serve(self, reader, writer):
+        if len(self.connections) >= MAX_CONNECTIONS:
+            writer.transport.abort()
+            return
         self.connections.add(writer)
         try:
             while True:
-                head = await read_head(reader)
+                head = await asyncio.wait_for(read_head(reader), IDLE_CLOSE_S)
                 if not await self.handle(head, reader, writer):
                     break
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.TimeoutError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             self.connections.discard(writer)
             writer.close()
 
     async def handle(self, head, reader, writer):
-        if head.target == "/healthz":
-            writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n".encode())
-            return True
+        """Runs or rejects one request. A health check waits for a slot, or is rejected, as any other.
+        Returns whether the connection stays open."""
+        is_check = head.method == "GET" and head.target == "/healthz"
+        end = now() + int(head.headers.get("deadline-ms", 60_000)) / 1000
+        body = await read_body(head, reader)
+        if not is_check and not head.id:
+            return await self.reject(head, writer, 400)
         if head.headers.get("expected-instance", self.id) != self.id:
-            await read_body(head, reader)
             self.record.line(f"server {self.id} answers 421 to {head.id}, not run")
-            writer.write(f"HTTP/1.1 421 -\r\nInstance-Id: {self.id}\r\nContent-Length: 0\r\n\r\n".encode())
+            writer.write(f"HTTP/1.1 421 -\r\nInstance-Id: {self.id}\r\n{KEEP_ALIVE}Content-Length: 0\r\n\r\n".encode())
             return True
-        return await self.run(self, head, reader, writer)
+        if self.waiting >= QUEUE:
+            return await self.reject(head, writer)
+        self.waiting += 1
+        try:
+            await asyncio.wait_for(self.free.acquire(), max(0.001, end - now()))
+        except asyncio.TimeoutError:
+            return await self.reject(head, writer)
+        finally:
+            self.waiting -= 1
+        try:
+            if is_check:
+                await asyncio.sleep(HEALTH_CHECK_S)
+                lines = f"HTTP/1.1 200 OK\r\nInstance-Id: {self.id}\r\n{KEEP_ALIVE}"
+                writer.write(f"{lines}Content-Length: 0\r\n\r\n".encode())
+                return True
+            stays_open = await self.run_until(end, head, body, reader, writer)
+        finally:
+            self.free.release()
+        if stays_open is None:
+            await reader.read()
+        return bool(stays_open)
+
+    async def run_until(self, end, head, body, reader, writer):
+        """Runs a request until it ends, its deadline passes or its connection is closed."""
+        self.began(head)
+        task = asyncio.ensure_future(self.run(self, head, body, writer))
+        while not task.done():
+            is_closed = reader.at_eof() or reader.exception() or writer.transport.is_closing()
+            if is_closed or now() > end:
+                task.cancel()
+                break
+            await asyncio.wait([task], timeout=0.02)
+        if not task.cancelled() and task.done():
+            return task.result()
+        if is_closed:
+            self.record.line(f"server {self.id} drops {head.id}, whose connection was closed")
+            return False
+        self.record.line(f"server {self.id} ends {head.id} at its deadline")
+        return await self.reply(head, writer, b"", 504)
+
+    async def work(self, seconds):
+        """Works for this time, and for up to twice as long just after a start."""
+        await asyncio.sleep(seconds * (1 + self.warm_up_left() / WARM_UP_S))
+
+    def warm_up_left(self):
+        return max(0.0, self.started + WARM_UP_S - now())
 
     def began(self, head):
         """Notes that the server began to work on a request."""
@@ -334,13 +400,15 @@
         self.record.line(f"server {self.id} runs {head.id}")
 
     async def reply(self, head, writer, body, status=200):
-        lines = f"HTTP/1.1 {status} -\r\nRequest-Id: {head.id}\r\nResponse-Signature: s.{head.id}\r\n"
+        lines = f"HTTP/1.1 {status} -\r\nRequest-Id: {head.id}\r\nResponse-Signature: s.{head.id}\r\n{KEEP_ALIVE}"
         writer.write(f"{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         await writer.drain()
         return True
 
-    async def reject(self, head, writer):
-        writer.write(f"HTTP/1.1 503 -\r\nRequest-Id: {head.id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+    async def reject(self, head, writer, status=503):
+        request_id = f"Request-Id: {head.id}\r\n" if head.id else ""
+        lines = f"HTTP/1.1 {status} -\r\n{request_id}Not-Executed: 1\r\n{KEEP_ALIVE}"
+        writer.write(f"{lines}Content-Length: 0\r\n\r\n".encode())
         await writer.drain()
         return True
 
