Stop a daemon only after the kernel has taken its replies

Cause: a buffered reply ended its request when the HTTP library got it (SL2001 of all eight before SL1003), a streamed one when the library had asked for its last part. Neither is the moment at which the reply is written.

Change: replies to callers and to peers are counted until the kernel has taken their last byte, and the engine reports a node as drained only when none is left. A stream between the HTTP library and the socket tells when a write is complete. Bodies are passed on in parts, so that the memory account counts what the caller has not read. A connection that the daemon closes ends its sending direction and is read until its caller closes it, because a close with unread bytes resets it. At the end of the drain SL1022 names each reply that is cut off and the bytes left.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -11,19 +11,23 @@
 //! An exchange is one request and its response. The exchange only reads, forwards and responds; the
 //! decision thread makes every decision.
 
+mod connection;
 mod exchange;
 mod exchange_body;
 mod head;
+mod reply_body;
 mod request_body;
 mod response;
 mod server;
 mod socket;
 mod stream;
 
+pub use connection::ConnectionAcceptor;
 pub use head::{
     TIMEOUT_HEADER, declared_body_length, forwarded_headers, is_hop_by_hop_header, read_head,
     request_target,
 };
+pub use reply_body::ReplyBody;
 pub use response::{
     REQUEST_ID_HEADER, StoredReply, forwarded_response_head, plain_response_head, refusal_response,
 };
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -9,8 +9,10 @@
 use tokio::sync::mpsc;
 use xitca_web::http::WebRequest;
 
+use super::connection::ConnectionAcceptor;
 use super::exchange::answer_request;
-use super::socket::{CallerSockets, TrackedListener};
+use super::reply_body::ReplyBody;
+use super::socket::CallerSockets;
 use crate::adapters::CallerAdapter;
 use crate::http_server::PortServer;
 use crate::inbox::DecisionInput;
@@ -34,7 +36,7 @@
     pub body_buffer: usize,
     /// Number of the next request.
     pub counter: AtomicU64,
-    /// Connections of callers, used to detect disconnects.
+    /// Connections of callers, used to detect disconnects and replies that are not written yet.
     pub sockets: CallerSockets,
     /// Protocol in which callers send requests and receive responses.
     pub adapter: Arc<dyn CallerAdapter>,
@@ -69,20 +71,22 @@
     listener: TcpListener,
     context: Arc<CallerContext>,
 ) -> PortServer {
-    let tracked = TrackedListener::new(listener, context.sockets.clone());
+    let acceptor = ConnectionAcceptor::new(context.sockets.clone());
     let handler = move |request: WebRequest| {
         let context = Arc::clone(&context);
         let peer = *request.body().socket_addr();
         let request = request.map(|ext| ext.replace_body(()).1);
         async move {
+            let reply = context.sockets.open_reply();
+            let socket = context.sockets.get(peer);
             let leaving = Arc::clone(&context.leaving);
             let mut response = answer_request(context, request, peer).await;
             if leaving.load(Ordering::Relaxed) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            response
+            response.map(|body| ReplyBody::new(body, socket, reply))
         }
     };
-    server.port("callers", tracked, handler)
+    server.caller_port("callers", listener, acceptor, handler)
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 use sycamorelink_core::{InstanceId, NodeClock, SystemClock};
 use sycamorelink_engine::{ContractMode, NodeEngine, NodeEvent};
 use sycamorelink_roster::MemberFacts;
+use sycamorelink_telemetry::{EventCode, EventFields};
 use sycamorelink_wire::{FleetKeys, PeerIdentity, WireSettings};
 use tokio::sync::watch;
 
@@ -25,6 +26,7 @@
 use crate::memory::MemoryAccount;
 use crate::metrics::NodeTelemetry;
 use crate::metrics_thread::start_metrics;
+use crate::open_replies::OpenReplies;
 use crate::operators::{OperatorAuthenticator, OperatorContext, serve_operators};
 use crate::ready::{serve_metrics_page, serve_ready};
 use crate::ring::{RingSender, bounded_ring};
@@ -41,12 +43,12 @@
 /// Timeout for a connection to a peer. A lost peer does not refuse connections, and a request that
 /// waits for one moves to another peer only after this timeout.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest time to write the last replies to peers at shutdown.
+/// Longest time to write the last replies to peers when a daemon stops without a limit.
 const REPLY_DRAIN_LIMIT: Duration = Duration::from_secs(5);
 /// Interval at which [`DaemonHandle::wait_drained`] checks for the end of the drain.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time to send the last datagrams and the last bytes of responses at shutdown. The HTTP library's
-/// graceful stop is unsuitable: it waits up to half a minute for idle connections too.
+/// Time to send the last datagrams and refusals at shutdown. The HTTP library's graceful stop is
+/// unsuitable: it waits up to half a minute for idle connections too.
 const SHUTDOWN_FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// Entry point that starts a daemon.
@@ -129,6 +131,7 @@
             telemetry: shared.telemetry.clone(),
             memory: shared.memory.clone(),
             leaving_record: shared.leaving_record.clone(),
+            open_replies: shared.open_replies.clone(),
         };
         let seeds = settings.seeds.clone();
         let wall = shared.clock.wall().saturating_sub(shared.clock.now());
@@ -198,6 +201,8 @@
     telemetry: NodeTelemetry,
     memory: MemoryAccount,
     leaving_record: LeavingRecord,
+    open_replies: OpenReplies,
+    sockets: CallerSockets,
 }
 
 impl SharedParts {
@@ -213,6 +218,7 @@
             settings.telemetry.metrics,
             settings.listen.metrics.is_some(),
         );
+        let open_replies = OpenReplies::default();
         Self {
             instance,
             clock,
@@ -230,6 +236,8 @@
             telemetry,
             memory: MemoryAccount::default(),
             leaving_record: LeavingRecord::default(),
+            sockets: CallerSockets::new(open_replies.clone()),
+            open_replies,
         }
     }
 
@@ -285,7 +293,7 @@
             reply_buffer: settings.reply_buffer,
             body_buffer: BODY_REPLAY_LIMIT.min(settings.body_limit),
             counter: AtomicU64::new(1),
-            sockets: CallerSockets::default(),
+            sockets: self.sockets.clone(),
             adapter: Arc::clone(&self.adapters.caller),
             leaving: Arc::clone(&self.leaving),
             memory: self.memory.clone(),
@@ -322,7 +330,6 @@
     WorkThread::start(WorkParts {
         identity: PeerIdentity::new(shared.instance, keys),
         wire: WireSettings {
-            drain_limit: REPLY_DRAIN_LIMIT,
             connect_limit: PEER_CONNECT_TIMEOUT,
             ..WireSettings::default()
         },
@@ -333,6 +340,7 @@
         events: shared.telemetry.events.clone(),
         memory: shared.memory.clone(),
         adapter: Arc::clone(&shared.adapters.backend),
+        open_replies: shared.open_replies.clone(),
         drain: shared.drain.subscribe(),
     })
 }
@@ -406,10 +414,17 @@
 
     /// Stops all threads and aborts requests in flight; [`Self::drain`] completes them first.
     pub fn stop(self) {
+        self.stop_within(REPLY_DRAIN_LIMIT);
+    }
+
+    /// Like [`Self::stop`], with a limit on the time to write the last replies to peers.
+    pub fn stop_within(self, limit: Duration) {
+        let stops_at = self.shared.clock.now() + limit;
         self.shared
             .inbox
             .send_blocking(DecisionInput::Event(NodeEvent::Departed));
         thread::sleep(SHUTDOWN_FLUSH_TIME);
+        self.close_callers();
         self.callers.stop(false);
         self.auxiliary_ports.stop(false);
         let _ = self.shared.drain.send(true);
@@ -417,8 +432,18 @@
         self.shared.inbox.send_blocking(DecisionInput::Stop);
         let _ = self.decision.join();
         let _ = self.gossip_thread.join();
-        self.work.join();
+        let left = stops_at.saturating_sub(self.shared.clock.now());
+        self.work.join(left);
         let _ = self.log_thread.join();
         let _ = self.metrics_thread.join();
     }
+
+    /// Closes the callers' connections and reports the replies that are cut off by it.
+    fn close_callers(&self) {
+        for unsent in self.shared.sockets.close_all() {
+            let fields = EventFields::new().address(&unsent.peer).count(&unsent.left);
+            let events = &self.shared.telemetry.events;
+            events.emit(EventCode::ReplyCutOff, &fields);
+        }
+    }
 }
--- a/crates/daemon/src/decision_loop.rs
+++ b/crates/daemon/src/decision_loop.rs
@@ -32,6 +32,7 @@
 use crate::memory::MemoryAccount;
 use crate::metrics::NodeTelemetry;
 use crate::notes::NoteRecorder;
+use crate::open_replies::OpenReplies;
 use crate::operators::answer_query;
 use crate::ring::RingReceiver;
 use crate::work::{BackendDirectory, LoadBoard, OutboundMessage, WorkCommand};
@@ -69,6 +70,8 @@
     pub memory: MemoryAccount,
     /// Record of the local backend servers that leave.
     pub leaving_record: LeavingRecord,
+    /// Replies to callers and peers that are not written completely.
+    pub open_replies: OpenReplies,
 }
 
 /// Event loop that runs the engine and executes its commands.
@@ -185,6 +188,10 @@
         if self.clock_watch.has_paused(started_at, self.clock.wall()) {
             self.apply_event(started_at, NodeEvent::Resumed);
         }
+        if self.engine.is_draining() {
+            let count = self.outputs.open_replies.count();
+            self.apply_event(started_at, NodeEvent::OpenReplies { count });
+        }
         let kind = event_kind(&event);
         self.apply_event(started_at, event);
         let took = self.clock.now().saturating_sub(started_at);
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -1,6 +1,7 @@
 //! HTTP servers built on `xitca`, each with a few threads for all of its ports.
 
 use std::future::Future;
+use std::net::TcpListener;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 use xitca_web::http::WebRequest;
 use xitca_web::service::{ServiceExt, fn_service};
 
+use crate::callers::{ConnectionAcceptor, ReplyBody};
+
 /// Longest time to receive a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest idle time of a keep-alive connection.
@@ -58,13 +61,31 @@
             let handler = handler.clone();
             async move { Ok::<_, std::convert::Infallible>(handler(request).await) }
         });
-        let config = HttpServiceConfig::new()
-            .request_head_timeout(HEAD_TIMEOUT)
-            .keep_alive_timeout(IDLE_TIMEOUT)
-            .max_read_buf_size::<HEAD_LIMIT>()
-            .max_write_buf_size::<WRITE_BUFFER_LIMIT>()
-            .max_request_headers::<HEADER_COUNT_LIMIT>();
-        let service = service.enclosed(HttpServiceBuilder::with_config(config));
+        let service = service.enclosed(HttpServiceBuilder::with_config(http_config()));
+        Self {
+            builder: self.builder.listen(name, listener, service),
+        }
+    }
+
+    /// Adds a bound listener for callers, whose connections `acceptor` registers.
+    #[must_use]
+    pub fn caller_port<F, Fut>(
+        self,
+        name: &str,
+        listener: TcpListener,
+        acceptor: ConnectionAcceptor,
+        handler: F,
+    ) -> Self
+    where
+        F: Fn(WebRequest) -> Fut + Clone + Send + Sync + 'static,
+        Fut: Future<Output = Response<ReplyBody>> + 'static,
+    {
+        let service = fn_service(move |request: WebRequest| {
+            let handler = handler.clone();
+            async move { Ok::<_, std::convert::Infallible>(handler(request).await) }
+        });
+        let http = HttpServiceBuilder::h1().config(http_config());
+        let service = service.enclosed(http.with_tls(acceptor));
         Self {
             builder: self.builder.listen(name, listener, service),
         }
@@ -93,6 +114,15 @@
     }
 }
 
+fn http_config() -> HttpServiceConfig<HEADER_COUNT_LIMIT, HEAD_LIMIT, WRITE_BUFFER_LIMIT> {
+    HttpServiceConfig::new()
+        .request_head_timeout(HEAD_TIMEOUT)
+        .keep_alive_timeout(IDLE_TIMEOUT)
+        .max_read_buf_size::<HEAD_LIMIT>()
+        .max_write_buf_size::<WRITE_BUFFER_LIMIT>()
+        .max_request_headers::<HEADER_COUNT_LIMIT>()
+}
+
 /// Handle to a running server.
 pub struct HttpPorts {
     thread: JoinHandle<()>,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,6 +31,7 @@
 mod metrics_table;
 mod metrics_thread;
 mod notes;
+mod open_replies;
 mod operators;
 mod ready;
 pub mod reply;
--- a/crates/daemon/src/work/serving.rs
+++ b/crates/daemon/src/work/serving.rs
@@ -98,6 +98,7 @@
         body,
         reply,
     } = exchange;
+    let _open = context.open_replies.open();
     let attempt = head.attempt;
     let slot = head.upstream.slot;
     if context.memory.is_full() {
--- a/crates/daemon/src/work/thread.rs
+++ b/crates/daemon/src/work/thread.rs
@@ -15,7 +15,7 @@
 use sycamorelink_limits::admission::WorkId;
 use sycamorelink_policy::LoadHint;
 use sycamorelink_wire::{PeerIdentity, PeerPool, WireSettings};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
 use super::attempt::run_attempt;
@@ -26,6 +26,7 @@
 use crate::inbox::DecisionInput;
 use crate::memory::MemoryAccount;
 use crate::metrics::EventPort;
+use crate::open_replies::OpenReplies;
 use crate::ring::RingSender;
 
 /// Interval between checks for quiet peers.
@@ -89,6 +90,8 @@
     pub memory: MemoryAccount,
     /// Protocol for requests to backend servers.
     pub adapter: Arc<dyn BackendAdapter>,
+    /// Replies that are not written completely.
+    pub open_replies: OpenReplies,
     work_counter: Rc<AtomicU64>,
 }
 
@@ -126,6 +129,8 @@
     pub memory: MemoryAccount,
     /// Protocol for requests to backend servers.
     pub adapter: Arc<dyn BackendAdapter>,
+    /// Replies that are not written completely.
+    pub open_replies: OpenReplies,
     /// Set to true when the node stops accepting work from peers.
     pub drain: watch::Receiver<bool>,
 }
@@ -137,6 +142,8 @@
     pub attempts: mpsc::Sender<AttemptTask>,
     /// Messages to peers.
     pub messages: mpsc::Sender<OutboundMessage>,
+    /// Longest time to write the last replies to peers, once the thread should end.
+    reply_limit: oneshot::Sender<Duration>,
     thread: JoinHandle<()>,
 }
 
@@ -149,30 +156,41 @@
     pub fn start(parts: WorkParts) -> anyhow::Result<Self> {
         let (attempts, attempt_receiver) = mpsc::channel(CHANNEL_DEPTH);
         let (messages, message_receiver) = mpsc::channel(CHANNEL_DEPTH);
+        let (reply_limit, reply_limit_receiver) = oneshot::channel();
+        let inputs = WorkInputs {
+            attempts: attempt_receiver,
+            messages: message_receiver,
+            reply_limit: reply_limit_receiver,
+        };
         let thread = thread::Builder::new()
             .name("work".to_owned())
-            .spawn(move || run_thread(parts, attempt_receiver, message_receiver))
+            .spawn(move || run_thread(parts, inputs))
             .context("cannot start the work thread")?;
         Ok(Self {
             attempts,
             messages,
+            reply_limit,
             thread,
         })
     }
 
-    /// Waits for the end of the thread, which ends when all senders of attempts are dropped.
-    pub fn join(self) {
+    /// Waits for the end of the thread, which ends when all senders of attempts are dropped and the
+    /// last replies to peers are written, or this time after that.
+    pub fn join(self, reply_limit: Duration) {
+        let _ = self.reply_limit.send(reply_limit);
         drop(self.attempts);
         drop(self.messages);
         let _ = self.thread.join();
     }
 }
 
-fn run_thread(
-    parts: WorkParts,
+struct WorkInputs {
     attempts: mpsc::Receiver<AttemptTask>,
     messages: mpsc::Receiver<OutboundMessage>,
-) {
+    reply_limit: oneshot::Receiver<Duration>,
+}
+
+fn run_thread(parts: WorkParts, inputs: WorkInputs) {
     let Ok(runtime) = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -191,6 +209,7 @@
             events: parts.events,
             memory: parts.memory,
             adapter: parts.adapter,
+            open_replies: parts.open_replies,
             work_counter: Rc::new(AtomicU64::new(1)),
         };
         let serving = serve_peers(
@@ -201,10 +220,13 @@
             parts.drain,
         );
         let serving = tokio::task::spawn_local(serving);
-        tokio::task::spawn_local(send_messages(context.clone(), messages));
+        tokio::task::spawn_local(send_messages(context.clone(), inputs.messages));
         tokio::task::spawn_local(report_quiet_peers(context.clone()));
-        run_attempts(context, attempts).await;
-        let _ = serving.await;
+        run_attempts(context, inputs.attempts).await;
+        let limit = inputs.reply_limit.await.unwrap_or_default();
+        if tokio::time::timeout(limit, serving).await.is_err() {
+            tracing::warn!("replies to peers were cut off");
+        }
     });
 }
 
--- a/crates/engine/src/drain.rs
+++ b/crates/engine/src/drain.rs
@@ -113,7 +113,14 @@
         }
     }
 
-    /// Reports `Drained` once a leaving node can stop safely.
+    /// Returns whether this node is leaving.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.is_some()
+    }
+
+    /// Reports `Drained` once a leaving node can stop safely: every request has ended and its reply is
+    /// written.
     ///
     /// An idle node still waits for [`LEAVE_PROPAGATION_TIME`], since peers that do not know of its
     /// departure yet would send work that fails, and for [`LEAVE_QUIET_TIME`] without requests from
@@ -132,7 +139,7 @@
         }
         let peers_informed =
             now >= since + LEAVE_PROPAGATION_TIME && now >= self.last_request + LEAVE_QUIET_TIME;
-        let idle = self.requests.is_empty() && self.works.is_empty();
+        let idle = self.requests.is_empty() && self.works.is_empty() && self.open_replies == 0;
         let seats_settled = self.uses_fleet_contract()
             || self.handover == HandoverState::SeatsHandedOver
             || self.roster.member_count() < 2
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -66,6 +66,12 @@
     },
     /// The work ended, with or without a run.
     WorkEnded(WorkReport),
+    /// A leaving node still writes replies to callers or peers. A request ends for the node when its
+    /// reply is complete, which may be long before the reply is written.
+    OpenReplies {
+        /// Number of replies that are not written completely.
+        count: usize,
+    },
     /// A message arrived over the peer protocol.
     PeerReceived {
         /// The sender, as authenticated when the connection was opened.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -156,6 +156,8 @@
     pub(crate) last_failed_call: Option<Duration>,
     pub(crate) handover: HandoverState,
     pub(crate) leaving_ticks: u32,
+    /// Replies that are not written completely, as last reported.
+    pub(crate) open_replies: usize,
     /// Whether peers were notified that this node ended.
     departed: bool,
     /// When the waiting requests of this leaving node were recalled; `None` before.
@@ -260,6 +262,7 @@
             last_failed_call: None,
             handover: HandoverState::default(),
             leaving_ticks: 0,
+            open_replies: 0,
             departed: false,
             recalled_at: None,
             now: Duration::ZERO,
@@ -298,6 +301,7 @@
                 self.on_server_notice(now, work, notice, out);
             }
             NodeEvent::WorkEnded(report) => self.on_work_ended(now, &report, out),
+            NodeEvent::OpenReplies { count } => self.open_replies = count,
             NodeEvent::PeerReceived { from, message } => {
                 self.on_peer_message(now, from, message, out);
             }
--- a/crates/engine/tests/session/draining.rs
+++ b/crates/engine/tests/session/draining.rs
@@ -140,3 +140,16 @@
         assert_eq!(answer(&world, number).status, Some(200));
     }
 }
+
+// Guards against a node that stops while a caller still reads the reply to a request that has ended.
+#[test]
+fn node_stops_only_after_its_replies_are_written() {
+    let mut world = start_fleet(Duration::from_millis(100));
+    world.send_event("a", NodeEvent::DrainRequested);
+    world.send_event("a", NodeEvent::OpenReplies { count: 1 });
+    world.run_for(LIMIT);
+    assert!(world.audit.drained.is_empty());
+    world.send_event("a", NodeEvent::OpenReplies { count: 0 });
+    world.run_for(Duration::from_millis(200));
+    assert!(world.audit.drained.contains(&node("a")));
+}
--- a/crates/ops/src/serve.rs
+++ b/crates/ops/src/serve.rs
@@ -7,7 +7,7 @@
 //! ```
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
 use serde::Serialize;
@@ -72,9 +72,10 @@
     let mut reload = SettingsReload::new(file, in_force, factory);
     runtime.block_on(wait_for_stop_request(&handle, &mut signals, &mut reload));
     emit(EventCode::DaemonDraining, &EventFields::new());
+    let stops_at = Instant::now() + limit;
     handle.drain();
     let drained = runtime.block_on(wait_for_drain(&handle, &mut signals, limit));
-    handle.stop();
+    handle.stop_within(stops_at.saturating_duration_since(Instant::now()));
     if !drained {
         emit(EventCode::DrainCut, &EventFields::new());
         bail!("the daemon stopped before everything was finished or handed over");
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -114,6 +114,7 @@
     1019 SettingsReloaded Info "settings-reloaded" "the settings were read again";
     1020 SettingsRejected Warn "settings-rejected" "changed settings have findings and those in force stay";
     1021 DecisionDelayed Warn "decision-delayed" "the decision thread took long for one input and others waited";
+    1022 ReplyCutOff Warn "reply-cut-off" "a stop cut off a reply that its caller had not taken";
 
     2001 RequestServed Debug "request-served" "a request got its reply";
     2002 RequestRefused Debug "request-refused" "a request was refused";
--- a/crates/telemetry/src/event/entries/lifecycle.rs
+++ b/crates/telemetry/src/event/entries/lifecycle.rs
@@ -166,4 +166,12 @@
         action: "When it repeats, look at the processor use of the instance, and for `contract` at \
                 the size of the contract.",
     },
+    EventEntry {
+        code: EventCode::ReplyCutOff,
+        reserved: false,
+        meaning: "The daemon stopped before the caller at `address` had taken its reply: `count` \
+                bytes were left. The caller sees the connection end within the reply.",
+        action: "Nothing for a caller that stopped reading. If many replies are cut off, raise \
+                `drain.limit`, or the time that the platform gives a process to stop.",
+    },
 ];
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -7,3 +7,4 @@
 mod faults;
 mod half_closed_callers;
 mod request_bodies;
+mod slow_callers;
