Let only an incarnation's own word end it

Three late heartbeats of a crashed server, 0.2 s after its successor had registered, shut the successor out for good.

Cause: a count of heartbeats decided which of two incarnations runs, and its result ended the other one. With two late heartbeats the script held, the third one recorded the successor as ended, and so would any greater count. A single 421 did the same, and two starts of one id were not told apart, because the count came before their start times.

Change: an incarnation ends only by its own leaving or withdrawal. Any other decision can be reversed by the next work or heartbeat: a later start of one id, a service that is in force, the server's rejection of work, an incarnation that was not heard before, and only then one that goes on announcing itself while the current one neither announces itself nor replies. A rival keeps its limit and its bound on repeats. The address of a server belongs to the incarnation that announced it, since any heartbeat redirected the work before. SL1023 and SL1024 report each decision with both incarnations.

--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -157,6 +157,7 @@
             NodeNote::UpstreamLapsed { id, service } => {
                 self.emit_upstream(EventCode::HeartbeatLapsed, id, service);
             }
+            NodeNote::RivalAnnounced { .. } => self.emit_rival(note),
             NodeNote::UpstreamCrashed { id, service } => {
                 self.emit_upstream(EventCode::CrashSuspected, id, service);
             }
@@ -435,6 +436,26 @@
         self.emit(code, &EventFields::new().upstream(id).service(service));
     }
 
+    fn emit_rival(&self, note: &NodeNote) {
+        let NodeNote::RivalAnnounced {
+            id,
+            service,
+            rival,
+            current,
+            reason,
+        } = note
+        else {
+            return;
+        };
+        let (code, reason) = match reason {
+            Some(reason) => (EventCode::IncarnationReplaced, reason.as_str()),
+            None => (EventCode::AnnouncementHeld, "held"),
+        };
+        let reason = format!("{rival} beside {current}: {reason}");
+        let fields = EventFields::new().upstream(id).service(service);
+        self.emit(code, &fields.reason(&reason));
+    }
+
     fn increment(&mut self, key: SeriesKey) {
         self.metrics.add(key, 1);
     }
--- a/crates/daemon/src/operators/query.rs
+++ b/crates/daemon/src/operators/query.rs
@@ -82,10 +82,12 @@
         .local_upstreams()
         .into_iter()
         .map(|(slot, announced, load)| {
+            let life = announced.life.as_ref().map(|life| &*life.id.name);
+            let address = directory.address(slot, life);
             json!({
                 "slot": slot,
                 "service": announced.service,
-                "address": directory.address(slot).map(|address| address.to_string()),
+                "address": address.map(|address| address.to_string()),
                 "slots": announced.slots,
                 "phase": phase_name(announced.phase),
                 "in_use": load.in_use,
--- a/crates/daemon/src/operators/route.rs
+++ b/crates/daemon/src/operators/route.rs
@@ -1,6 +1,7 @@
 //! Routes the calls of the operators' port.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
@@ -153,7 +154,7 @@
     let slot = local_slot(context, call, slot)?;
     let body: AnnouncementBody = serde_json::from_slice(&call.body)
         .map_err(|error| ApiProblem::new(StatusCode::BAD_REQUEST, "bad-request", error))?;
-    context.directory.insert(slot, body.address);
+    context.directory.insert(slot, None, body.address);
     let announcement = UpstreamAnnouncement {
         slot,
         service: body.service,
@@ -187,7 +188,8 @@
         body: &call.body,
     })?;
     if let Some((slot, address)) = answer.address {
-        context.directory.insert(slot, address);
+        let life = answer.event.as_ref().and_then(announced_life);
+        context.directory.insert(slot, life, address);
     }
     match answer.event {
         Some(event) if is_leaving(&event) => context.send_leaving(event).await,
@@ -197,6 +199,17 @@
     Some(answer.reply)
 }
 
+/// Returns the name of the incarnation that an announcement names.
+fn announced_life(event: &NodeEvent) -> Option<Arc<str>> {
+    match event {
+        NodeEvent::UpstreamAnnounced(announced) => {
+            let life = announced.life.as_ref()?;
+            Some(Arc::clone(&life.id.name))
+        }
+        _ => None,
+    }
+}
+
 /// Returns whether an announcement says that a backend server leaves.
 fn is_leaving(event: &NodeEvent) -> bool {
     match event {
--- a/crates/daemon/src/work/executor.rs
+++ b/crates/daemon/src/work/executor.rs
@@ -215,6 +215,8 @@
     context: WorkContext,
     work: WorkId,
     slot: u16,
+    /// Incarnation of the backend server that the work is meant for.
+    life: Option<Arc<str>>,
     request_id: String,
     /// Whether the work must not run twice, so that its reply is stored for a resend.
     keyed: bool,
@@ -231,7 +233,7 @@
             headers: task.headers,
             request_id: request_id.clone(),
             reply_id_header: task.reply_id_header,
-            life,
+            life: life.clone(),
             time_left: task.offer.time_left,
             body_length: task.body_length,
         };
@@ -243,6 +245,7 @@
             context,
             work: task.offer.work,
             slot: task.offer.slot,
+            life,
             request_id,
             keyed: task.offer.ticket.is_some(),
             request,
@@ -251,7 +254,8 @@
     }
 
     async fn execute(mut self) -> RunEnd {
-        let Some(address) = self.context.directory.address(self.slot) else {
+        let life = self.life.as_deref();
+        let Some(address) = self.context.directory.address(self.slot, life) else {
             return RunEnd::of(WorkEnd::NotStarted);
         };
         let Some((request, expectation)) = self.request.take() else {
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -1,5 +1,6 @@
 //! Announcements of the local backend servers, and their publication in the membership.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sycamorelink_core::{RefusalCode, ServiceName, UpstreamId};
@@ -13,6 +14,7 @@
 use crate::local_upstream::LocalUpstream;
 use crate::node::{CLOSE_GRACE, NodeEngine};
 use crate::note::NodeNote;
+use crate::rivals::{KeptState, RivalLives, ServicesInForce, TakeoverReason};
 
 impl NodeEngine {
     /// Handles the first or a renewed announcement of a local backend server.
@@ -25,25 +27,25 @@
         let Some(announced) = self.resolve_leaving(now, announced) else {
             return;
         };
-        if announced.phase == UpstreamPhase::Leaving && self.end_displaced(&announced, out) {
+        if announced.phase == UpstreamPhase::Leaving && self.end_rival(&announced, out) {
             return;
         }
-        if let Some(announced) = self.admit_announcement(announced) {
+        if let Some(announced) = self.admit_announcement(now, announced, out) {
             self.apply_announcement(now, announced, out);
         }
     }
 
-    /// Ends the displaced incarnation if it announces that it leaves. Returns whether it did.
-    fn end_displaced(
-        &mut self,
-        announced: &UpstreamAnnouncement,
-        out: &mut Vec<NodeCommand>,
-    ) -> bool {
+    /// Ends an incarnation that is not the current one and announces that it leaves. Returns whether
+    /// it did. A later start under the current name gets the same work, so it takes the place.
+    fn end_rival(&mut self, announced: &UpstreamAnnouncement, out: &mut Vec<NodeCommand>) -> bool {
         let known = self.upstreams.get_mut(&announced.slot);
         let (Some(known), Some(leaving)) = (known, LeavingServer::of(announced)) else {
             return false;
         };
-        if !known.is_displaced(announced) {
+        let current = known.life_id();
+        let is_rival =
+            current.is_some_and(|current| known.available && current.name != leaving.life.name);
+        if !is_rival {
             return false;
         }
         known.end_life(leaving.life.clone());
@@ -65,11 +67,11 @@
         let slot = announced.slot;
         let expires_at = now + self.settings.announcement;
         let mut known = self.upstreams.remove(&slot);
-        if let Some(known) = &mut known {
-            known.displace_if_replaced(&announced);
-        }
+        let mut rivals = known
+            .as_mut()
+            .map(|known| std::mem::take(&mut known.rivals))
+            .unwrap_or_default();
         let ended_lives = known.as_ref().map(|known| known.ended_lives.clone());
-        let displaced = known.as_mut().and_then(|known| known.displaced.take());
         let is_new = known.as_ref().is_none_or(|known| !known.available);
         let same = known.as_ref().is_some_and(|known| {
             known.available
@@ -81,10 +83,14 @@
             .as_mut()
             .filter(|known| known.announced.service == announced.service)
             .and_then(|known| known.repeats.take());
-        let limit = known
-            .as_mut()
-            .filter(|known| known.life_id().as_ref() == life_of(&announced))
-            .and_then(LocalUpstream::take_limit);
+        let mut kept = KeptState::default();
+        if let Some(known) = &mut known {
+            if known.life_id().as_ref() == life_of(&announced) {
+                kept.limit = known.take_limit();
+            } else {
+                kept = rivals.displace(known, life_of(&announced));
+            }
+        }
         let existing = known.filter(|known| is_same_life(known, &announced));
         let new_gate = existing.is_none();
         // Guards against new work for a leaving server after a restart of this node. The grace
@@ -94,8 +100,8 @@
         let mut upstream = existing.unwrap_or_else(|| self.new_upstream(now, &announced));
         // Kept across restarts of the server: a reset would refill its part of the bound on every
         // crash.
-        upstream.repeats = repeats;
-        if let Some(limit) = limit {
+        upstream.repeats = repeats.or(kept.repeats);
+        if let Some(limit) = kept.limit {
             upstream.put_limit(limit);
         }
         upstream.closes_at = match announced.phase {
@@ -108,7 +114,7 @@
         }
         upstream.expires_at = expires_at;
         upstream.ended_lives = ended_lives.unwrap_or_default();
-        upstream.displaced = displaced;
+        upstream.rivals = rivals;
         upstream.announced = announced;
         let facts = facts_of(&upstream.announced);
         let phase = upstream.announced.phase;
@@ -144,39 +150,41 @@
     /// numbers its announcements, and one that is known to have ended is never accepted again. An
     /// incarnation that is leaving stays leaving whatever phase it announces.
     ///
-    /// An unknown incarnation is accepted at once, since it usually is the next one. If it is an
-    /// earlier one whose announcement was delayed, the displaced one goes on announcing itself and
-    /// is accepted again.
-    ///
-    /// A server that restarts under its name numbers its announcements from the start again. The
-    /// start time identifies the later incarnation; otherwise the announcements would count as
-    /// outdated until their numbers catch up, and the server would stay idle meanwhile.
+    /// The rules for another incarnation than the current one are in [`crate::rivals`].
     fn admit_announcement(
         &mut self,
+        now: Duration,
         announced: UpstreamAnnouncement,
+        out: &mut Vec<NodeCommand>,
     ) -> Option<UpstreamAnnouncement> {
         let Some(life) = &announced.life else {
             return Some(announced);
         };
-        let Some(known) = self.upstreams.get_mut(&announced.slot) else {
+        let announced_in_force = self.is_in_force(&announced.service);
+        let known = self.upstreams.get(&announced.slot);
+        let Some(current_in_force) = known.map(|known| self.is_in_force(&known.announced.service))
+        else {
             return Some(announced);
         };
+        let known = self.upstreams.get_mut(&announced.slot)?;
         if known.ended_lives.contains(&life.id) {
             return None;
         }
-        if known.is_displaced(&announced) {
-            return known.count_displaced(&announced).then_some(announced);
-        }
         let current = known.announced.life.as_ref();
-        if current.is_some_and(|current| life.id.is_earlier_than(&current.id)) {
-            return None;
-        }
-        let same = current.filter(|same| same.id == life.id);
-        if same.is_some_and(|same| life.order <= same.order) {
+        let Some(same) = current.filter(|same| same.id == life.id) else {
+            let in_force = ServicesInForce {
+                current: current_in_force,
+                announced: announced_in_force,
+            };
+            let reason = known.admit_rival(now, &announced, in_force);
+            self.note_rival(&announced, reason, out);
+            return reason.map(|_| announced);
+        };
+        if life.order <= same.order {
             return None;
         }
-        let is_leaving = same.is_some() && known.announced.phase == UpstreamPhase::Leaving;
-        let phase = if is_leaving {
+        known.rivals.restart_counts();
+        let phase = if known.announced.phase == UpstreamPhase::Leaving {
             UpstreamPhase::Leaving
         } else {
             announced.phase
@@ -184,6 +192,36 @@
         Some(UpstreamAnnouncement { phase, ..announced })
     }
 
+    /// Returns whether a service is in force, as far as this node knows.
+    fn is_in_force(&self, service: &ServiceName) -> bool {
+        let contract = self.fleet.current.as_ref();
+        contract.is_none_or(|(contract, _)| contract.services.contains(service))
+    }
+
+    /// Reports the decision about an incarnation that is not the current one.
+    fn note_rival(
+        &self,
+        announced: &UpstreamAnnouncement,
+        reason: Option<TakeoverReason>,
+        out: &mut Vec<NodeCommand>,
+    ) {
+        let slot = announced.slot;
+        let current = self.upstreams.get(&slot).and_then(LocalUpstream::life_id);
+        let (Some(current), Some(rival)) = (current, life_of(announced)) else {
+            return;
+        };
+        out.push(NodeCommand::Note(NodeNote::RivalAnnounced {
+            id: UpstreamId {
+                node: self.own.instance.node,
+                slot,
+            },
+            service: announced.service.clone(),
+            rival: Arc::clone(&rival.name),
+            current: current.name,
+            reason,
+        }));
+    }
+
     /// Handles the withdrawal of a backend server. One that did not announce before that it leaves
     /// continues to serve for a while, so it is marked as leaving first.
     pub(crate) fn on_withdrawal(
@@ -232,10 +270,10 @@
         self.on_announced(now, leaving, out);
     }
 
-    /// Ends the incarnation that work was sent to and in whose place another server answered. That is
-    /// the one that was displaced, or one that has not announced itself yet.
+    /// Handles the rejection of work that was sent to an incarnation: another server runs in its place.
+    /// That is the rival that was heard last, or one that has not announced itself yet.
     ///
-    /// The answer may be late, so the incarnation that is current by now may be another one.
+    /// The rejection may be late, so the incarnation that is current by now may be another one.
     pub(crate) fn on_replaced(
         &mut self,
         now: Duration,
@@ -247,11 +285,31 @@
         let (Some(known), Some(life)) = (known, life) else {
             return self.on_withdrawn(now, slot, out);
         };
-        let was_current = known.life_id().as_ref() == Some(life);
-        if let Some(announced) = known.end_and_restore(life) {
-            self.apply_announcement(now, announced, out);
-        } else if was_current {
-            self.on_withdrawn(now, slot, out);
+        if known.life_id().as_ref() != Some(life) {
+            return known.rivals.reject(life);
+        }
+        let Some(announced) = known.rivals.latest().cloned() else {
+            return self.on_withdrawn(now, slot, out);
+        };
+        self.note_rival(&announced, Some(TakeoverReason::Rejected), out);
+        self.apply_announcement(now, announced, out);
+        if let Some(known) = self.upstreams.get_mut(&slot) {
+            known.rivals.reject(life);
+        }
+    }
+
+    /// Returns whether an incarnation is the current one.
+    pub(crate) fn is_current(&self, slot: u16, life: Option<&LifeId>) -> bool {
+        let known = self.upstreams.get(&slot);
+        known.is_some_and(|known| known.life_id().as_ref() == life)
+    }
+
+    /// Records that an incarnation replied to work that was sent to it.
+    pub(crate) fn confirm_life(&mut self, slot: u16, life: Option<&LifeId>) {
+        if self.is_current(slot, life)
+            && let Some(known) = self.upstreams.get_mut(&slot)
+        {
+            known.rivals.restart_counts();
         }
     }
 
@@ -277,7 +335,7 @@
             life: 0,
             available: true,
             ended_lives: Vec::new(),
-            displaced: None,
+            rivals: RivalLives::default(),
         }
     }
 
--- a/crates/engine/src/crash_requests.rs
+++ b/crates/engine/src/crash_requests.rs
@@ -66,6 +66,8 @@
         out: &mut Vec<NodeCommand>,
     ) {
         let node = self.own.instance.node;
+        let state = self.works.get(&work);
+        let is_current = state.is_some_and(|state| self.is_current(slot, state.life.as_ref()));
         let Some(upstream) = self.upstreams.get_mut(&slot) else {
             return;
         };
@@ -76,8 +78,9 @@
         };
         self.held_failures.entry(victim).or_default().push(work);
         let upstream_service = upstream.announced.service.clone();
-        let first = upstream.available;
-        upstream.available = false;
+        // The crash of an earlier incarnation may be noticed only after the next one has started.
+        let first = upstream.available && is_current;
+        upstream.available &= !is_current;
         let running = self
             .works
             .values()
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -388,8 +388,8 @@
 pub struct LifeId {
     /// Name of the server.
     pub name: Arc<str>,
-    /// Start time by the server's own clock, since the Unix epoch; `None` if not announced. Only
-    /// compared between incarnations of one name, which share a clock.
+    /// Start time by the server's own clock, since the Unix epoch; `None` if not announced. Decides
+    /// between incarnations of one name. Between others it is a hint, as the clock may be set back.
     pub started: Option<Duration>,
 }
 
--- a/crates/engine/src/executor.rs
+++ b/crates/engine/src/executor.rs
@@ -390,8 +390,13 @@
         match report.end {
             WorkEnd::Crashed => self.on_backend_crash(now, work, slot, out),
             WorkEnd::Replaced => self.on_replaced(now, slot, life.as_ref(), out),
-            WorkEnd::NotStarted if self.uses_fleet_contract() => self.on_withdrawn(now, slot, out),
+            WorkEnd::NotStarted
+                if self.uses_fleet_contract() && self.is_current(slot, life.as_ref()) =>
+            {
+                self.on_withdrawn(now, slot, out);
+            }
             WorkEnd::Replied => {
+                self.confirm_life(slot, life.as_ref());
                 let mut commands = Vec::new();
                 self.crash.completed(now, signature, &mut commands);
                 self.on_crash_commands(now, commands, out);
--- a/crates/engine/src/note.rs
+++ b/crates/engine/src/note.rs
@@ -18,6 +18,7 @@
 use crate::capacity::RefusedForecast;
 use crate::event::WorkEnd;
 use crate::repeats::RepeatBudgetView;
+use crate::rivals::TakeoverReason;
 
 /// Decision of a deadline queue on offered or queued work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -502,6 +503,19 @@
         /// Service of the upstream.
         service: ServiceName,
     },
+    /// An incarnation of a local backend server that is not the current one announced itself.
+    RivalAnnounced {
+        /// Id of the upstream.
+        id: UpstreamId,
+        /// Service that the incarnation announced.
+        service: ServiceName,
+        /// Name of the incarnation.
+        rival: Arc<str>,
+        /// Name of the current incarnation.
+        current: Arc<str>,
+        /// Reason for which it takes the place of the current one; `None` if it does not.
+        reason: Option<TakeoverReason>,
+    },
     /// A local backend server crashed while it ran work.
     UpstreamCrashed {
         /// Id of the upstream.
--- a/crates/engine/tests/session/server_limit.rs
+++ b/crates/engine/tests/session/server_limit.rs
@@ -187,6 +187,33 @@
     assert!(most <= limit, "{most} requests");
 }
 
+// Guards against a burst after a late announcement of a crashed incarnation had taken the place of a
+// limited server.
+#[test]
+fn limit_outlives_a_late_announcement_of_an_earlier_incarnation() {
+    let mut world = limited_fleet(LimitNotice::Rate(LIMIT_RATE));
+    world.announce_life("a", "server-a", 1);
+    let next = send_requests(&mut world, 1, Duration::from_secs(6));
+    world.announce_life("a", "server-a", 2);
+    world.announce_life("a", "crashed", 7);
+    let displaced_at = world.now();
+    for order in 3..5 {
+        world.run_for(Duration::from_millis(600));
+        world.announce_life("a", "server-a", order);
+    }
+    // The first answer takes long, so that it does not name the limit in time.
+    let script = BackendScript {
+        time: Duration::from_secs(1),
+        ..world.scripts[&node("a")]
+    };
+    world.scripts.insert(node("a"), script);
+    send_requests(&mut world, next, Duration::from_secs(2));
+    let most = max_arrivals(&world, "a", displaced_at);
+    let limit = LIMIT_RATE * LIMIT_WINDOW.as_secs_f64() + 2.0;
+    assert!(most > 0.0, "the server gets requests again");
+    assert!(most <= limit, "{most} requests");
+}
+
 // Guards against slots that are never freed: work that waited when its server first named a limit
 // was refused, and later the gate gave it a slot.
 #[test]
--- a/crates/telemetry/src/event/code.rs
+++ b/crates/telemetry/src/event/code.rs
@@ -115,6 +115,8 @@
     1020 SettingsRejected Warn "settings-rejected" "changed settings have findings and those in force stay";
     1021 DecisionDelayed Warn "decision-delayed" "the decision thread took long for one input and others waited";
     1022 ReplyCutOff Warn "reply-cut-off" "a stop cut off a reply that its caller had not taken";
+    1023 IncarnationReplaced Info "incarnation-replaced" "another incarnation of a backend server took the place of the current one";
+    1024 AnnouncementHeld Debug "announcement-held" "an incarnation that is not the current one announced itself and gets no work";
 
     2001 RequestServed Debug "request-served" "a request got its reply";
     2002 RequestRefused Debug "request-refused" "a request was refused";
--- a/crates/telemetry/src/event/entries/lifecycle.rs
+++ b/crates/telemetry/src/event/entries/lifecycle.rs
@@ -174,4 +174,22 @@
         action: "Nothing for a caller that stopped reading. If many replies are cut off, raise \
                 `drain.limit`, or the time that the platform gives a process to stop.",
     },
+    EventEntry {
+        code: EventCode::IncarnationReplaced,
+        reserved: false,
+        meaning: "Another incarnation of the backend server gets the work from now on. `reason` \
+                names both and why: `vacant` (the former one was gone), `later-start` (the same \
+                name, started later), `service-in-force` (only its service is in the contract), \
+                `unknown` (not heard before), `repeated` (it goes on announcing itself while the \
+                other one is silent) or `rejected` (the server rejected work for the other one).",
+        action: "Nothing after a restart. When two incarnations take turns, the server rejects work \
+                for one of them: find who sends heartbeats in its name.",
+    },
+    EventEntry {
+        code: EventCode::AnnouncementHeld,
+        reserved: false,
+        meaning: "A heartbeat named an incarnation that does not run as far as this daemon knows, \
+                for example because it arrived late. `reason` names it and the current one.",
+        action: "Nothing. If the current one is the wrong one, the next work for it corrects that.",
+    },
 ];
