Bring back only rivals that were heard recently

A rejection of work brought back the rival that was heard last, however long ago, and a dead one got work until the server rejected that too. Only an announcement that has not expired counts now. The services in force are compared only for incarnations that are not the current one. A drain that is cut short is logged before the process stops, which may take until the platform kills it.

--- a/crates/daemon/src/callers/socket.rs
+++ b/crates/daemon/src/callers/socket.rs
@@ -84,7 +84,8 @@
         if unsent == 0
             && let Ok(mut ended) = self.0.ended.lock()
         {
-            ended.drain(..ending);
+            let written = ending.min(ended.len());
+            ended.drain(..written);
         }
     }
 
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -14,7 +14,7 @@
 use crate::local_upstream::LocalUpstream;
 use crate::node::{CLOSE_GRACE, NodeEngine};
 use crate::note::NodeNote;
-use crate::rivals::{KeptState, RivalLives, ServicesInForce, TakeoverReason};
+use crate::rivals::{KeptState, RivalClaim, RivalLives, TakeoverReason};
 
 impl NodeEngine {
     /// Handles the first or a renewed announcement of a local backend server.
@@ -160,25 +160,15 @@
         let Some(life) = &announced.life else {
             return Some(announced);
         };
-        let announced_in_force = self.is_in_force(&announced.service);
-        let known = self.upstreams.get(&announced.slot);
-        let Some(current_in_force) = known.map(|known| self.is_in_force(&known.announced.service))
-        else {
+        let Some(known) = self.upstreams.get_mut(&announced.slot) else {
             return Some(announced);
         };
-        let known = self.upstreams.get_mut(&announced.slot)?;
         if known.ended_lives.contains(&life.id) {
             return None;
         }
         let current = known.announced.life.as_ref();
         let Some(same) = current.filter(|same| same.id == life.id) else {
-            let in_force = ServicesInForce {
-                current: current_in_force,
-                announced: announced_in_force,
-            };
-            let reason = known.admit_rival(now, &announced, in_force);
-            self.note_rival(&announced, reason, out);
-            return reason.map(|_| announced);
+            return self.admit_rival(now, announced, out);
         };
         if life.order <= same.order {
             return None;
@@ -192,6 +182,26 @@
         Some(UpstreamAnnouncement { phase, ..announced })
     }
 
+    /// Returns the announcement of another incarnation than the current one, if it takes the place.
+    fn admit_rival(
+        &mut self,
+        now: Duration,
+        announced: UpstreamAnnouncement,
+        out: &mut Vec<NodeCommand>,
+    ) -> Option<UpstreamAnnouncement> {
+        let known = self.upstreams.get(&announced.slot)?;
+        let claim = RivalClaim {
+            announced: &announced,
+            expires_at: now + self.settings.announcement,
+            is_in_force: self.is_in_force(&announced.service),
+            is_current_in_force: self.is_in_force(&known.announced.service),
+        };
+        let known = self.upstreams.get_mut(&announced.slot)?;
+        let reason = known.judge_rival(now, claim);
+        self.note_rival(&announced, reason, out);
+        reason.map(|_| announced)
+    }
+
     /// Returns whether a service is in force, as far as this node knows.
     fn is_in_force(&self, service: &ServiceName) -> bool {
         let contract = self.fleet.current.as_ref();
@@ -288,7 +298,7 @@
         if known.life_id().as_ref() != Some(life) {
             return known.rivals.reject(life);
         }
-        let Some(announced) = known.rivals.latest().cloned() else {
+        let Some(announced) = known.rivals.latest(now).cloned() else {
             return self.on_withdrawn(now, slot, out);
         };
         self.note_rival(&announced, Some(TakeoverReason::Rejected), out);
--- a/crates/engine/src/rivals.rs
+++ b/crates/engine/src/rivals.rs
@@ -77,6 +77,8 @@
 struct RivalLife {
     /// Its newest announcement.
     announced: UpstreamAnnouncement,
+    /// Time at which the announcement expires.
+    expires_at: Duration,
     kept: KeptState,
     /// Whether the server rejected work for it.
     rejected: bool,
@@ -110,7 +112,8 @@
                 limit: known.take_limit(),
                 repeats: known.repeats.take(),
             };
-            self.push(RivalLife::new(known.announced.clone(), former));
+            let former = RivalLife::new(known.announced.clone(), known.expires_at, former);
+            self.push(former);
         }
         kept
     }
@@ -127,16 +130,20 @@
     fn count(
         &mut self,
         now: Duration,
-        announced: &UpstreamAnnouncement,
+        claim: RivalClaim<'_>,
         started_earlier: bool,
     ) -> Option<TakeoverReason> {
+        let (announced, expires_at) = (claim.announced, claim.expires_at);
         let index = self.lives.iter().position(|rival| rival.is_of(announced));
         let mut rival = match index {
             Some(index) => self.lives.remove(index),
-            None if started_earlier => RivalLife::new(announced.clone(), KeptState::default()),
+            None if started_earlier => {
+                RivalLife::new(announced.clone(), expires_at, KeptState::default())
+            }
             None => return Some(TakeoverReason::Unknown),
         };
         rival.announced = announced.clone();
+        rival.expires_at = expires_at;
         rival.count(now);
         let is_repeated = rival.announcements >= REQUIRED_ANNOUNCEMENTS;
         self.push(rival);
@@ -165,11 +172,11 @@
         }
     }
 
-    /// Returns the newest announcement of the rival that was heard last, of those that the server
-    /// did not reject.
-    pub(crate) fn latest(&self) -> Option<&UpstreamAnnouncement> {
+    /// Returns the newest announcement of the rival that was heard last, of those that have not
+    /// expired and that the server did not reject.
+    pub(crate) fn latest(&self, now: Duration) -> Option<&UpstreamAnnouncement> {
         let mut lives = self.lives.iter().rev();
-        let latest = lives.find(|rival| !rival.rejected)?;
+        let latest = lives.find(|rival| !rival.rejected && now < rival.expires_at)?;
         Some(&latest.announced)
     }
 
@@ -187,9 +194,10 @@
 }
 
 impl RivalLife {
-    fn new(announced: UpstreamAnnouncement, kept: KeptState) -> Self {
+    fn new(announced: UpstreamAnnouncement, expires_at: Duration, kept: KeptState) -> Self {
         Self {
             announced,
+            expires_at,
             kept,
             rejected: false,
             announcements: 0,
@@ -214,22 +222,27 @@
     life_of(announced)?.started
 }
 
-/// Which of the services concerned are in force.
+/// Announcement of another incarnation than the current one.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ServicesInForce {
-    pub(crate) current: bool,
-    pub(crate) announced: bool,
+pub(crate) struct RivalClaim<'a> {
+    pub(crate) announced: &'a UpstreamAnnouncement,
+    /// Time at which the announcement expires.
+    pub(crate) expires_at: Duration,
+    /// Whether the announced service is in force.
+    pub(crate) is_in_force: bool,
+    /// Whether the service of the current incarnation is in force.
+    pub(crate) is_current_in_force: bool,
 }
 
 impl LocalUpstream {
-    /// Decides about the announcement of another incarnation than the current one. Returns the reason
-    /// for which it takes the place; `None` if it does not.
-    pub(crate) fn admit_rival(
+    /// Returns the reason for which another incarnation takes the place of the current one; `None` if
+    /// it does not.
+    pub(crate) fn judge_rival(
         &mut self,
         now: Duration,
-        announced: &UpstreamAnnouncement,
-        in_force: ServicesInForce,
+        claim: RivalClaim<'_>,
     ) -> Option<TakeoverReason> {
+        let announced = claim.announced;
         if self.rivals.is_outdated(announced) {
             return None;
         }
@@ -244,12 +257,12 @@
                 return None;
             }
         }
-        match (in_force.current, in_force.announced) {
+        match (claim.is_current_in_force, claim.is_in_force) {
             (true, false) => None,
             (false, true) => Some(TakeoverReason::ServiceInForce),
             _ => {
                 let started_earlier = started_at(announced) < started_at(&self.announced);
-                self.rivals.count(now, announced, started_earlier)
+                self.rivals.count(now, claim, started_earlier)
             }
         }
     }
--- a/crates/ops/src/serve.rs
+++ b/crates/ops/src/serve.rs
@@ -75,9 +75,11 @@
     let stops_at = Instant::now() + limit;
     handle.drain();
     let drained = runtime.block_on(wait_for_drain(&handle, &mut signals, limit));
-    handle.stop_within(stops_at.saturating_duration_since(Instant::now()));
     if !drained {
         emit(EventCode::DrainCut, &EventFields::new());
+    }
+    handle.stop_within(stops_at.saturating_duration_since(Instant::now()));
+    if !drained {
         bail!("the daemon stopped before everything was finished or handed over");
     }
     emit(EventCode::DaemonStopped, &EventFields::new());
