Take an unasked 101 for a malformed reply

Cause: the HTTP library hands over a 101 as the final reply, and it was passed on as the server's own failure. No request asks for an upgrade, since that header is not forwarded.

Change: a 101 ends the request like too many interim replies do. One that may be repeated goes to another server, another gets 502.

--- a/crates/daemon/src/work/backend.rs
+++ b/crates/daemon/src/work/backend.rs
@@ -55,8 +55,8 @@
     /// No byte of the request was sent.
     #[error("no connection to the backend server")]
     NotSent,
-    /// The backend server sent interim replies without end.
-    #[error("more than {MAX_INTERIM_REPLIES} interim replies")]
+    /// The backend server sent interim replies without end, or switched protocols.
+    #[error("interim replies in place of a final one")]
     Interim,
     /// Some of the request may have been sent.
     #[error("the connection broke before a reply")]
@@ -95,10 +95,15 @@
     ) -> Result<(Response<Incoming>, BackendConnection), SendFailure> {
         let mut request = request;
         let too_many = limit_interim_replies(&mut request);
-        tokio::select! {
-            sent = self.send_on_any(slot, address, request) => sent,
-            () = too_many.notified() => Err(SendFailure::Interim),
+        let sent = tokio::select! {
+            sent = self.send_on_any(slot, address, request) => sent?,
+            () = too_many.notified() => return Err(SendFailure::Interim),
+        };
+        // The HTTP library hands over a 101 as the final reply, but no request asks for an upgrade.
+        if sent.0.status().is_informational() {
+            return Err(SendFailure::Interim);
         }
+        Ok(sent)
     }
 
     async fn send_on_any(
