--- a/tests/testsuite/fleet/slow_callers.rs
+++ b/tests/testsuite/fleet/slow_callers.rs
@@ -8,8 +8,9 @@
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 
-use crate::support::fixture::{CALLER_TOKEN, FleetFixture};
-use crate::support::http::parse_reply;
+use crate::support::fixture::{CALLER_TOKEN, FleetFixture, OPERATOR_TOKEN};
+use crate::support::http::{TestRequest, parse_reply};
+use crate::support::process::TestProcess;
 use crate::support::wait_until;
 
 /// Length of a reply that the kernel does not take at once, in bytes.
@@ -58,15 +59,17 @@
     stream
 }
 
-// Guards against a stop that cuts off a complete reply because its caller reads it slowly.
-#[test]
-fn stop_waits_for_the_reader_of_a_complete_reply() {
+/// Reads a long reply after a pause, in which the daemon is told to stop by `stop`.
+fn read_during_stop<F>(stop: F)
+where
+    F: FnOnce(&TestProcess),
+{
     let settings = json!({ "reply_buffer": "1MB", "drain": { "limit": "20s" } });
     let mut fleet = FleetFixture::with_settings(2, &settings);
     fleet.publish_sample();
     let mut stream = ask_for_long_reply(&fleet.instances[0].caller_address());
     let daemon = &mut fleet.instances[0].daemon;
-    daemon.signal("TERM");
+    stop(daemon);
     let resumes_at = Instant::now() + PAUSE;
     while daemon.try_wait().is_none() && Instant::now() < resumes_at {
         thread::sleep(Duration::from_millis(50));
@@ -78,6 +81,22 @@
     assert!(daemon.wait().success());
 }
 
+// Guards against a stop that cuts off a complete reply because its caller reads it slowly.
+#[test]
+fn stop_waits_for_the_reader_of_a_complete_reply() {
+    read_during_stop(|daemon| daemon.signal("TERM"));
+}
+
+// Guards against the same fault in a drain that an operator requested.
+#[test]
+fn drain_waits_for_the_reader_of_a_complete_reply() {
+    read_during_stop(|daemon| {
+        let drain = TestRequest::new("POST", "/v1/drain").token(OPERATOR_TOKEN);
+        let reply = drain.send(&daemon.address("operators"));
+        assert_eq!(reply.expect("the operators' port answers").status, 202);
+    });
+}
+
 // Guards against a caller that never reads and so keeps a stopping daemon from ending in time, or cuts
 // off the replies of others.
 #[test]
