--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -1,5 +1,7 @@
 //! Connection of a caller as the HTTP library uses it.
 //!
+//! The library takes the stream from the acceptor that it would ask for a TLS session.
+//!
 //! ```text
 //! reply body ──▶ HTTP library ── write ──▶ CallerStream ──▶ kernel
 //!      │ last byte                             │ taken
--- a/crates/engine/src/rivals.rs
+++ b/crates/engine/src/rivals.rs
@@ -125,8 +125,8 @@
         }
     }
 
-    /// Records an announcement. Returns the reason for which its sender takes the place of the
-    /// current incarnation; `None` if it does not, or if the announcement is outdated.
+    /// Records an announcement that is not outdated. Returns the reason for which its sender takes
+    /// the place of the current incarnation; `None` if it does not.
     fn count(
         &mut self,
         now: Duration,
