Bound the wait for replies to peers in one place

The listener had a limit of its own, 30 s by default, beneath the one that the stop of a daemon sets, and would have cut a longer drain off. The caller of serve_listener bounds the wait by dropping it, as the daemon does.

cargo test -p sycamorelink-wire passed; a drain of more than 30 s was not run.

--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -21,8 +21,8 @@
 ///
 /// A handler may return while the last bytes of its reply still wait for the peer's flow-control
 /// window. Stopping there would truncate the reply to a slow reader, so this function returns only
-/// once all connections are closed, or after [`WireSettings::drain_limit`]. Must run inside a
-/// `LocalSet`.
+/// once all connections are closed. The caller bounds the wait, and closes what is left, by dropping
+/// the future. Must run inside a `LocalSet`.
 pub async fn serve_listener<M>(
     listener: TcpListener,
     identity: &PeerIdentity,
@@ -55,13 +55,7 @@
         }
     }
     drop(listener);
-    let remaining = async { while connections.join_next().await.is_some() {} };
-    if tokio::time::timeout(settings.drain_limit, remaining)
-        .await
-        .is_err()
-    {
-        tracing::warn!("drain timed out, closing the remaining peer connections");
-    }
+    while connections.join_next().await.is_some() {}
 }
 
 async fn prepare_accepted(
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -29,8 +29,6 @@
     pub heartbeat_limit: Duration,
     /// Maximum number of connections that a listener serves; further ones wait in the accept queue.
     pub max_connections: usize,
-    /// Maximum wait of a draining listener for its connections to close.
-    pub drain_limit: Duration,
     /// Number of open connections above which a pool closes the one that has been idle longest.
     pub max_pooled: usize,
     /// Time after a failed connect during which a pool does not retry the same peer.
@@ -51,7 +49,6 @@
             idle_heartbeat_interval: Duration::from_secs(20),
             heartbeat_limit: Duration::from_millis(700),
             max_connections: 8192,
-            drain_limit: Duration::from_secs(30),
             max_pooled: 512,
             reconnect_delay: Duration::from_millis(200),
             message_queue_capacity: 1024,
