--- a/crates/daemon/src/callers/exchange.rs
+++ b/crates/daemon/src/callers/exchange.rs
@@ -7,7 +7,6 @@
 //! complete one.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -47,7 +46,7 @@
 pub async fn answer_request(
     context: Arc<CallerContext>,
     request: Request<RequestBody>,
-    peer: SocketAddr,
+    socket: Option<CallerSocket>,
 ) -> Response<ResponseBody> {
     let id = context.next_request();
     let (head, body) = request.into_parts();
@@ -82,7 +81,7 @@
     let (part_sender, parts) = mpsc::channel(REPLY_DEPTH);
     let (body_end_sender, body_ends) = mpsc::channel(1);
     let exchange = CallerExchange {
-        socket: context.sockets.get(peer),
+        socket,
         context,
         id,
         target: request_target(&request).to_owned(),
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -80,7 +80,7 @@
             let reply = context.sockets.open_reply();
             let socket = context.sockets.get(peer);
             let leaving = Arc::clone(&context.leaving);
-            let mut response = answer_request(context, request, peer).await;
+            let mut response = answer_request(context, request, socket.clone()).await;
             if leaving.load(Ordering::Relaxed) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -1,5 +1,6 @@
 //! HTTP servers built on `xitca`, each with a few threads for all of its ports.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::TcpListener;
 use std::thread::{self, JoinHandle};
@@ -57,11 +58,8 @@
         F: Fn(WebRequest) -> Fut + Clone + Send + Sync + 'static,
         Fut: Future<Output = Response<ResponseBody>> + 'static,
     {
-        let service = fn_service(move |request: WebRequest| {
-            let handler = handler.clone();
-            async move { Ok::<_, std::convert::Infallible>(handler(request).await) }
-        });
-        let service = service.enclosed(HttpServiceBuilder::with_config(http_config()));
+        let http = HttpServiceBuilder::with_config(http_config());
+        let service = fn_service(infallible(handler)).enclosed(http);
         Self {
             builder: self.builder.listen(name, listener, service),
         }
@@ -80,12 +78,8 @@
         F: Fn(WebRequest) -> Fut + Clone + Send + Sync + 'static,
         Fut: Future<Output = Response<ReplyBody>> + 'static,
     {
-        let service = fn_service(move |request: WebRequest| {
-            let handler = handler.clone();
-            async move { Ok::<_, std::convert::Infallible>(handler(request).await) }
-        });
         let http = HttpServiceBuilder::h1().config(http_config());
-        let service = service.enclosed(http.with_tls(acceptor));
+        let service = fn_service(infallible(handler)).enclosed(http.with_tls(acceptor));
         Self {
             builder: self.builder.listen(name, listener, service),
         }
@@ -114,6 +108,18 @@
     }
 }
 
+/// Returns a handler in the form of the library, which allows for errors.
+fn infallible<F, Fut, B>(
+    handler: F,
+) -> impl AsyncFn(WebRequest) -> Result<Response<B>, Infallible> + Clone + Send + Sync + 'static
+where
+    F: Fn(WebRequest) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response<B>> + 'static,
+    B: 'static,
+{
+    async move |request| Ok(handler(request).await)
+}
+
 fn http_config() -> HttpServiceConfig<HEADER_COUNT_LIMIT, HEAD_LIMIT, WRITE_BUFFER_LIMIT> {
     HttpServiceConfig::new()
         .request_head_timeout(HEAD_TIMEOUT)
--- a/crates/daemon/src/operators/query.rs
+++ b/crates/daemon/src/operators/query.rs
@@ -82,8 +82,8 @@
         .local_upstreams()
         .into_iter()
         .map(|(slot, announced, load)| {
-            let life = announced.life.as_ref().map(|life| &*life.id.name);
-            let address = directory.address(slot, life);
+            let life = announced.life_name();
+            let address = directory.address(slot, life.map(AsRef::as_ref));
             json!({
                 "slot": slot,
                 "service": announced.service,
--- a/crates/daemon/src/operators/route.rs
+++ b/crates/daemon/src/operators/route.rs
@@ -202,10 +202,7 @@
 /// Returns the name of the incarnation that an announcement names.
 fn announced_life(event: &NodeEvent) -> Option<Arc<str>> {
     match event {
-        NodeEvent::UpstreamAnnounced(announced) => {
-            let life = announced.life.as_ref()?;
-            Some(Arc::clone(&life.id.name))
-        }
+        NodeEvent::UpstreamAnnounced(announced) => announced.life_name().cloned(),
         _ => None,
     }
 }
--- a/crates/engine/src/announcing.rs
+++ b/crates/engine/src/announcing.rs
@@ -10,6 +10,7 @@
 
 use crate::command::NodeCommand;
 use crate::event::{LifeId, UpstreamAnnouncement};
+use crate::executor::upstream_id;
 use crate::leaving::{LeavingServer, life_of};
 use crate::local_upstream::LocalUpstream;
 use crate::node::{CLOSE_GRACE, NodeEngine};
@@ -128,10 +129,7 @@
             // Guards against work for a local server that leaves while this node itself is leaving.
             // Nothing changes for peers then, so the membership reports no event and the local pool
             // is updated here.
-            let id = UpstreamId {
-                node: self.own.instance.node,
-                slot,
-            };
+            let id = upstream_id(self.own.instance, slot);
             self.handle_roster_event(
                 now,
                 RosterEvent::UpstreamSet {
@@ -221,10 +219,7 @@
             return;
         };
         out.push(NodeCommand::Note(NodeNote::RivalAnnounced {
-            id: UpstreamId {
-                node: self.own.instance.node,
-                slot,
-            },
+            id: upstream_id(self.own.instance, slot),
             service: announced.service.clone(),
             rival: Arc::clone(&rival.name),
             current: current.name,
@@ -408,10 +403,7 @@
         F: FnOnce(UpstreamId, ServiceName) -> NodeNote,
     {
         if let Some(upstream) = self.upstreams.get(&slot) {
-            let id = UpstreamId {
-                node: self.own.instance.node,
-                slot,
-            };
+            let id = upstream_id(self.own.instance, slot);
             let service = upstream.announced.service.clone();
             out.push(NodeCommand::Note(make(id, service)));
         }
--- a/crates/engine/src/event.rs
+++ b/crates/engine/src/event.rs
@@ -381,6 +381,14 @@
     pub warm_up: Option<Duration>,
 }
 
+impl UpstreamAnnouncement {
+    /// Returns the name of the incarnation that sent the announcement; `None` if it did not name one.
+    #[must_use]
+    pub fn life_name(&self) -> Option<&Arc<str>> {
+        self.life.as_ref().map(|life| &life.id.name)
+    }
+}
+
 /// Identity of one incarnation of a backend server. Identifiers call it a life, to distinguish it
 /// from the incarnation of a node. A restarted server may reuse its name; the start times then
 /// distinguish the incarnations.
--- a/crates/engine/tests/session/announcements.rs
+++ b/crates/engine/tests/session/announcements.rs
@@ -33,12 +33,26 @@
     world.run_for(INTERVAL);
 }
 
-/// Returns the name of the incarnation that `a` sends work to.
-fn current_name(world: &SessionWorld) -> Option<String> {
+/// Returns the incarnation that `a` sends work to.
+fn current_life(world: &SessionWorld) -> Option<LifeId> {
     let engine = &world.engines()[&node("a")];
     let mut upstreams = engine.local_upstreams().into_iter();
-    let life = upstreams.find_map(|(_, announced, _)| announced.life);
-    life.map(|life| life.id.name.to_string())
+    let life = upstreams.find_map(|(_, announced, _)| announced.life)?;
+    Some(life.id)
+}
+
+/// Returns the name of the incarnation that `a` sends work to.
+fn current_name(world: &SessionWorld) -> Option<String> {
+    current_life(world).map(|life| life.name.to_string())
+}
+
+/// Sends work through `a`, some of it to its own server, which rejects it as meant for another
+/// incarnation.
+fn send_rejected_work(world: &mut SessionWorld) {
+    set_end(world, WorkEnd::Replaced);
+    for number in 1..=30 {
+        world.call("a", number, "GET", "/prices/a", None);
+    }
 }
 
 fn set_end(world: &mut SessionWorld, end: WorkEnd) {
@@ -131,10 +145,7 @@
 #[test]
 fn late_rejection_ends_only_the_incarnation_that_the_work_was_sent_to() {
     let mut world = fleet();
-    set_end(&mut world, WorkEnd::Replaced);
-    for number in 1..=30 {
-        world.call("a", number, "GET", "/prices/a", None);
-    }
+    send_rejected_work(&mut world);
     world.run_for(Duration::from_millis(10));
     let next = announced("next", 3_000, 1, UpstreamPhase::Ready);
     world.send_event("a", NodeEvent::UpstreamAnnounced(next));
@@ -177,9 +188,7 @@
 
 /// Returns name and start time in milliseconds of the incarnation that `a` sends work to.
 fn life_of_a(world: &SessionWorld) -> Option<(&'static str, u64)> {
-    let engine = &world.engines()[&node("a")];
-    let mut upstreams = engine.local_upstreams().into_iter();
-    let life = upstreams.find_map(|(_, announced, _)| announced.life)?.id;
+    let life = current_life(world)?;
     let known = [CURRENT, EARLIER, NEXT, LATER_START, EARLIER_START];
     let started = life.started?;
     known.into_iter().find(|(name, started_ms)| {
@@ -286,10 +295,7 @@
 #[test]
 fn server_that_rejects_its_own_work_is_accepted_again() {
     let mut world = fleet();
-    set_end(&mut world, WorkEnd::Replaced);
-    for number in 1..=30 {
-        world.call("a", number, "GET", "/prices/a", None);
-    }
+    send_rejected_work(&mut world);
     world.run_for(Duration::from_secs(1));
     assert_eq!(life_of_a(&world), None);
     assert_stays_current(&mut world, CURRENT, 2..4);
